objectstore: rename pkg/platform

Cause: the new folder platform/ translates the users' platform; one word had two meanings. Change: pkg/platform is pkg/objectstore; no behaviour changes. Conclusion: build and vet pass.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -24,7 +24,7 @@
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/listen"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/runners"
 	"cassiapin/pkg/timeline"
@@ -106,7 +106,7 @@
 	kernel.Want(f, config.SourceServiceName, &s.marks)
 	kernel.Want(f, config.SourceServiceName, &s.refusals)
 	kernel.Want(f, peer.MembershipServiceName, &s.members)
-	kernel.Want(f, platform.ServiceName, &s.platform)
+	kernel.Want(f, objectstore.ServiceName, &s.platform)
 	if f.Err() != nil {
 		return f.Err()
 	}
--- a/pkg/bench/fleet.go
+++ b/pkg/bench/fleet.go
@@ -22,7 +22,7 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/node"
 	"cassiapin/pkg/peer/keys"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/publish"
 	"cassiapin/pkg/settings"
 	"cassiapin/pkg/standin"
@@ -68,7 +68,7 @@
 	Services   map[string]*plain.Server
 	Hosts      *hostlist.Server
 	Truth      *standin.QualityModel
-	Store      *platform.Client
+	Store      *objectstore.Client
 	Admin      *admin.Client
 
 	link       link
@@ -186,7 +186,7 @@
 	}
 	f.link.placeURL(f.objectsURL, f.Deployment.Regions()[0])
 	var err error
-	f.Store, err = platform.New(platform.Options{BaseURLs: []string{f.objectsURL}})
+	f.Store, err = objectstore.New(objectstore.Options{BaseURLs: []string{f.objectsURL}})
 	return err
 }
 
--- a/pkg/billing/billing_test.go
+++ b/pkg/billing/billing_test.go
@@ -18,7 +18,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 	"cassiapin/pkg/upstream"
--- a/pkg/billing/count.go
+++ b/pkg/billing/count.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/sha256"
 
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 )
 
 const (
@@ -81,11 +81,11 @@
 // Reconcile reads the batches and counts each bill id once. Of several bills
 // with one id it counts the first in key order. It remembers at most
 // maxCountedIDs ids at a time and reads the batches again for the others.
-func Reconcile(ctx context.Context, store platform.Store, f Filter) (Summary, error) {
+func Reconcile(ctx context.Context, store objectstore.Store, f Filter) (Summary, error) {
 	return reconcile(ctx, store, f, maxCountedIDs)
 }
 
-func reconcile(ctx context.Context, store platform.Store, f Filter, maxIDs int) (Summary, error) {
+func reconcile(ctx context.Context, store objectstore.Store, f Filter, maxIDs int) (Summary, error) {
 	sum := Summary{Organisations: make(map[string]Total)}
 	c := &counter{high: countParts, maxIDs: maxIDs}
 	for first := true; ; first = false {
--- a/pkg/billing/reconcile.go
+++ b/pkg/billing/reconcile.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/upstream"
 )
 
@@ -86,10 +86,10 @@
 
 // Each calls fn for every matching bill in key order, repeated ids included. It
 // holds one page of batches in memory.
-func Each(ctx context.Context, store platform.Store, f Filter, fn func(Bill)) (ReadStats, error) {
+func Each(ctx context.Context, store objectstore.Store, f Filter, fn func(Bill)) (ReadStats, error) {
 	var stats ReadStats
 	for _, prefix := range f.prefixes() {
-		err := platform.Each(ctx, store, prefix, func(o platform.Object) error {
+		err := objectstore.Each(ctx, store, prefix, func(o objectstore.Object) error {
 			stats.read(o.Value, f, fn)
 			return nil
 		})
--- a/pkg/billing/service.go
+++ b/pkg/billing/service.go
@@ -14,7 +14,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -81,7 +81,7 @@
 	LimitBytes    int
 	// Store, Messenger, Members, Clock, Recorder and Log are taken from the
 	// kernel when nil. Without a Messenger or Members no copies are made.
-	Store     platform.Store
+	Store     objectstore.Store
 	Messenger peer.Messenger
 	Members   peer.Members
 	Clock     clock.Clock
@@ -161,7 +161,7 @@
 	if s.opts.Log == nil {
 		s.opts.Log = k.Log
 	}
-	kernel.Need(f, platform.ServiceName, &s.opts.Store)
+	kernel.Need(f, objectstore.ServiceName, &s.opts.Store)
 	kernel.Need(f, timeline.ServiceName, &s.opts.Recorder)
 	if s.opts.Messenger == nil {
 		kernel.Want(f, peer.TransportServiceName, &s.opts.Messenger)
--- a/pkg/cli/bills.go
+++ b/pkg/cli/bills.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"cassiapin/pkg/billing"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := platform.New(platform.Options{BaseURLs: f.objects})
+	store, err := objectstore.New(objectstore.Options{BaseURLs: f.objects})
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 }
 
 // printList prints each bill id once.
-func (f *billsFlags) printList(cmd *cobra.Command, store platform.Store, filter billing.Filter) error {
+func (f *billsFlags) printList(cmd *cobra.Command, store objectstore.Store, filter billing.Filter) error {
 	seen := make(map[string]bool)
 	encoder := json.NewEncoder(cmd.OutOrStdout())
 	var failure error
--- a/pkg/cli/publish.go
+++ b/pkg/cli/publish.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/publish"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/settings"
@@ -97,7 +97,7 @@
 			if err != nil {
 				return err
 			}
-			store, err := platform.New(platform.Options{BaseURLs: objects})
+			store, err := objectstore.New(objectstore.Options{BaseURLs: objects})
 			if err != nil {
 				return err
 			}
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -20,35 +20,35 @@
 	"cassiapin/pkg/membership"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/peer/memnet"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
 
-// fakeStore is a platform.Store in memory that can be away.
+// fakeStore is a objectstore.Store in memory that can be away.
 type fakeStore struct {
 	kernel.Base
 	mu       sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	version  uint64
 	away     bool
-	watchers map[chan platform.Object]string
-	onWrite  func(platform.Object)
+	watchers map[chan objectstore.Object]string
+	onWrite  func(objectstore.Object)
 	reads    int
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string]platform.Object{}, watchers: map[chan platform.Object]string{}}
+	return &fakeStore{objects: map[string]objectstore.Object{}, watchers: map[chan objectstore.Object]string{}}
 }
 
-func (*fakeStore) Name() string { return platform.ServiceName }
+func (*fakeStore) Name() string { return objectstore.ServiceName }
 
-func (f *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (f *fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.away {
-		return platform.Object{}, result.New(result.PlatformAway, "away")
+		return objectstore.Object{}, result.New(result.PlatformAway, "away")
 	}
 	o, ok := f.objects[key]
 	if !ok {
@@ -57,27 +57,27 @@
 	return o, nil
 }
 
-func (f *fakeStore) List(context.Context, string) ([]platform.Object, error) { return nil, nil }
+func (f *fakeStore) List(context.Context, string) ([]objectstore.Object, error) { return nil, nil }
 
-func (f *fakeStore) ListPage(context.Context, string, string, int) ([]platform.Object, string, error) {
+func (f *fakeStore) ListPage(context.Context, string, string, int) ([]objectstore.Object, string, error) {
 	return nil, "", nil
 }
 
-func (f *fakeStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (f *fakeStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return f.Update(ctx, key, value, 0)
 }
 
-func (f *fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (platform.Object, error) {
+func (f *fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.away {
-		return platform.Object{}, result.New(result.PlatformAway, "away")
+		return objectstore.Object{}, result.New(result.PlatformAway, "away")
 	}
 	if f.objects[key].Version != version {
-		return platform.Object{}, result.New(result.ObjectConflict, "%s", key)
+		return objectstore.Object{}, result.New(result.ObjectConflict, "%s", key)
 	}
 	f.version++
-	o := platform.Object{Key: key, Value: value, Version: f.version}
+	o := objectstore.Object{Key: key, Value: value, Version: f.version}
 	f.objects[key] = o
 	for ch, prefix := range f.watchers {
 		if strings.HasPrefix(key, prefix) {
@@ -92,10 +92,10 @@
 
 func (f *fakeStore) Delete(context.Context, string, uint64) error { return nil }
 
-func (f *fakeStore) Watch(ctx context.Context, prefix string, after uint64) (<-chan platform.Object, error) {
+func (f *fakeStore) Watch(ctx context.Context, prefix string, after uint64) (<-chan objectstore.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ch := make(chan platform.Object, 64)
+	ch := make(chan objectstore.Object, 64)
 	for key, o := range f.objects {
 		if strings.HasPrefix(key, prefix) && o.Version > after {
 			ch <- o
@@ -181,7 +181,7 @@
 	f := &fleet{t: t, seed: o.Seed, store: newFakeStore()}
 	f.net = memnet.New(clock.NewFake(time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)), o)
 	// Watches are simulated: a relay gets each write after the delay.
-	f.store.onWrite = func(obj platform.Object) {
+	f.store.onWrite = func(obj objectstore.Object) {
 		f.net.After(watchDelay, func() {
 			for _, n := range f.nodes {
 				if !n.down && n.members.IsRelay() {
--- a/pkg/distribution/freshness.go
+++ b/pkg/distribution/freshness.go
@@ -7,7 +7,7 @@
 
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -180,7 +180,7 @@
 }
 
 // handleObject takes a value of the platform.
-func (s *Service) handleObject(o platform.Object) {
+func (s *Service) handleObject(o objectstore.Object) {
 	if o.Deleted {
 		return // The last configuration and the marks stay in force.
 	}
@@ -195,7 +195,7 @@
 	})
 }
 
-func (s *Service) acceptMarks(now time.Time, o platform.Object) {
+func (s *Service) acceptMarks(now time.Time, o objectstore.Object) {
 	if o.Version < s.platform.marksVersion {
 		return
 	}
--- a/pkg/distribution/marks.go
+++ b/pkg/distribution/marks.go
@@ -13,7 +13,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -236,10 +236,10 @@
 	return true
 }
 
-func (s *Service) putMarks(ctx context.Context, m config.Marks, version uint64, create bool) (platform.Object, error) {
+func (s *Service) putMarks(ctx context.Context, m config.Marks, version uint64, create bool) (objectstore.Object, error) {
 	raw, err := json.Marshal(m)
 	if err != nil {
-		return platform.Object{}, result.Wrap(err, result.Internal, result.NotRun, "encode the marks")
+		return objectstore.Object{}, result.Wrap(err, result.Internal, result.NotRun, "encode the marks")
 	}
 	if create {
 		return s.store.Create(ctx, MarksKey, raw)
--- a/pkg/distribution/service.go
+++ b/pkg/distribution/service.go
@@ -24,7 +24,7 @@
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/membership"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -91,7 +91,7 @@
 	msgr    peer.Messenger
 	caller  peer.Caller
 	overlay membership.Overlay
-	store   platform.Store
+	store   objectstore.Store
 
 	// snapshot, marks, marksHash and freshAt are read without the lock: by
 	// every request, and by probes under the lock of membership.
@@ -153,7 +153,7 @@
 	kernel.Need(f, peer.TransportServiceName, &s.msgr)
 	kernel.Need(f, peer.TransportServiceName, &s.caller)
 	kernel.Need(f, peer.MembershipServiceName, &s.overlay)
-	kernel.Need(f, platform.ServiceName, &s.store)
+	kernel.Need(f, objectstore.ServiceName, &s.store)
 	var adder membership.PiggybackAdder
 	kernel.Need(f, peer.MembershipServiceName, &adder)
 	if f.Err() != nil {
--- a/pkg/distribution/stored.go
+++ b/pkg/distribution/stored.go
@@ -11,7 +11,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -69,8 +69,8 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.DeclarationError, result.NotRun, "encode the configuration")
 	}
-	if len(raw) > platform.MaxObjectBytes {
-		return nil, result.New(result.ObjectTooLarge, "the configuration has %d bytes, the limit is %d", len(raw), platform.MaxObjectBytes)
+	if len(raw) > objectstore.MaxObjectBytes {
+		return nil, result.New(result.ObjectTooLarge, "the configuration has %d bytes, the limit is %d", len(raw), objectstore.MaxObjectBytes)
 	}
 	return raw, nil
 }
@@ -83,7 +83,7 @@
 	refuse := func(err error, what string) (Stored, error) {
 		return Stored{}, result.Wrap(err, result.SnapshotRefused, result.NotRun, "%s", what)
 	}
-	if len(raw) > platform.MaxObjectBytes {
+	if len(raw) > objectstore.MaxObjectBytes {
 		return refuse(nil, "the configuration is too large")
 	}
 	var j storedJSON
@@ -115,10 +115,10 @@
 	dec *zstd.Decoder
 }) {
 	var err error
-	if c.enc, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(platform.MaxObjectBytes)); err != nil {
+	if c.enc, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(objectstore.MaxObjectBytes)); err != nil {
 		panic(err) // The options are constant; the tests cover them.
 	}
-	c.dec, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(platform.MaxObjectBytes))
+	c.dec, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(objectstore.MaxObjectBytes))
 	if err != nil {
 		panic(err)
 	}
--- a/pkg/lease/held.go
+++ b/pkg/lease/held.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -210,7 +210,7 @@
 	if err != nil {
 		return err
 	}
-	var o platform.Object
+	var o objectstore.Object
 	if o, err = l.svc.opts.Store.Update(ctx, keyPrefix+l.name, raw, version); err != nil {
 		return err
 	}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -11,8 +11,8 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/platform"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -24,7 +24,7 @@
 	after func()
 }
 
-func (s *slowAnswers) Update(ctx context.Context, key string, value []byte, version uint64) (platform.Object, error) {
+func (s *slowAnswers) Update(ctx context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
 	o, err := s.Client.Update(ctx, key, value, version)
 	if after := s.after; after != nil {
 		s.after = nil
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -12,7 +12,7 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -46,7 +46,7 @@
 	Renewal time.Duration
 	Margin  time.Duration
 	// Store, Clock and Recorder are taken from the kernel when nil.
-	Store    platform.Store
+	Store    objectstore.Store
 	Clock    clock.Clock
 	Recorder timeline.Recorder
 	// Rand is the source of the jitter.
@@ -116,7 +116,7 @@
 	if s.opts.Clock == nil {
 		s.opts.Clock = k.Clock
 	}
-	kernel.Need(f, platform.ServiceName, &s.opts.Store)
+	kernel.Need(f, objectstore.ServiceName, &s.opts.Store)
 	kernel.Need(f, timeline.ServiceName, &s.opts.Recorder)
 	return f.Err()
 }
@@ -199,7 +199,7 @@
 	key := keyPrefix + name
 	o, err := s.opts.Store.Get(ctx, key)
 	if result.CodeOf(err) == result.ObjectNotFound {
-		return s.take(ctx, name, platform.Object{Key: key}, record{}, data)
+		return s.take(ctx, name, objectstore.Object{Key: key}, record{}, data)
 	}
 	if err != nil {
 		return nil, err
@@ -263,7 +263,7 @@
 }
 
 // take writes a record with the next epoch in place of the one that was read.
-func (s *Service) take(ctx context.Context, name string, o platform.Object, prev record, data func([]byte, bool) []byte) (Lease, error) {
+func (s *Service) take(ctx context.Context, name string, o objectstore.Object, prev record, data func([]byte, bool) []byte) (Lease, error) {
 	next := record{Holder: s.opts.Holder, Epoch: prev.Epoch + 1}
 	if data != nil {
 		next.Data = data(prev.Data, prev.Released)
@@ -273,7 +273,7 @@
 		return nil, err
 	}
 	start := s.opts.Clock.Now()
-	var written platform.Object
+	var written objectstore.Object
 	if o.Version == 0 {
 		written, err = s.opts.Store.Create(ctx, o.Key, raw)
 	} else {
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -18,7 +18,7 @@
 	"cassiapin/pkg/orders"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/plan"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/policy"
 	"cassiapin/pkg/quality"
 	"cassiapin/pkg/quota"
@@ -74,7 +74,7 @@
 
 func (a *assembler) platform() {
 	s := a.node.settings
-	store, err := platform.New(platform.Options{
+	store, err := objectstore.New(objectstore.Options{
 		BaseURLs: s.Platform.Objects, CallTimeout: s.Platform.Timeout.Std(), Dial: a.node.dial, Rand: a.source(),
 	})
 	must(a, store, err)
--- a/pkg/node/rates.go
+++ b/pkg/node/rates.go
@@ -8,7 +8,7 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 )
 
 // ratesName is the name of the service that shares the platform's rate.
@@ -29,7 +29,7 @@
 	kernel  *kernel.Kernel
 	config  config.Source
 	members peer.Members
-	store   *platform.Client
+	store   *objectstore.Client
 }
 
 // Name implements kernel.Service.
@@ -40,7 +40,7 @@
 	r.kernel = k
 	f := kernel.Find(k)
 	kernel.Need(f, config.SourceServiceName, &r.config)
-	kernel.Need(f, platform.ServiceName, &r.store)
+	kernel.Need(f, objectstore.ServiceName, &r.store)
 	kernel.Need(f, peer.MembershipServiceName, &r.members)
 	return f.Err()
 }
--- a/pkg/platform/client_test.go
+++ b/pkg/objectstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -18,8 +18,8 @@
 	"pgregory.net/rapid"
 
 	"cassiapin/pkg/clock"
-	"cassiapin/pkg/platform"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -106,7 +106,7 @@
 		c.SetHook(func(string, string) memstore.Fault { return memstore.Delayed })
 	}
 	version, _ := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	var o platform.Object
+	var o objectstore.Object
 	var err error
 	if f != dropped {
 		switch {
@@ -127,7 +127,7 @@
 	answer(w, o, err)
 }
 
-func answer(w http.ResponseWriter, o platform.Object, err error) {
+func answer(w http.ResponseWriter, o objectstore.Object, err error) {
 	if result.CodeOf(err) == result.ObjectConflict {
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
@@ -164,8 +164,8 @@
 
 func (hasty) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
 
-func newClient(t interface{ Fatal(...any) }, s *server, change func(*platform.Options)) *platform.Client {
-	o := platform.Options{
+func newClient(t interface{ Fatal(...any) }, s *server, change func(*objectstore.Options)) *objectstore.Client {
+	o := objectstore.Options{
 		BaseURLs: []string{s.URL}, ReadsPerSecond: 1e6, WritesPerSecond: 1e6,
 		CallTimeout: 10 * time.Second, OperationTimeout: 30 * time.Second, ResolveTimeout: 30 * time.Second,
 		Clock: hasty{}, Rand: rand.New(rand.NewSource(1)),
@@ -173,7 +173,7 @@
 	if change != nil {
 		change(&o)
 	}
-	c, err := platform.New(o)
+	c, err := objectstore.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -229,7 +229,7 @@
 	})
 }
 
-func perform(ctx context.Context, c *platform.Client, op, key string, version uint64) error {
+func perform(ctx context.Context, c *objectstore.Client, op, key string, version uint64) error {
 	var err error
 	switch op {
 	case "create":
@@ -250,7 +250,7 @@
 	ring := timeline.NewRing("n", clock.NewHLC(clock.Real{}), 16)
 	dead := httptest.NewServer(nil)
 	dead.Close()
-	c := newClient(t, s, func(o *platform.Options) {
+	c := newClient(t, s, func(o *objectstore.Options) {
 		o.BaseURLs = []string{dead.URL, dead.URL, dead.URL, s.URL}
 		o.Recorder = ring
 	})
@@ -279,7 +279,7 @@
 func TestSilentConnectionAndSharedReads(t *testing.T) {
 	s := newServer(t)
 	ctx := context.Background()
-	fast := newClient(t, s, func(o *platform.Options) { o.CallTimeout = time.Second })
+	fast := newClient(t, s, func(o *objectstore.Options) { o.CallTimeout = time.Second })
 	if _, err := fast.Create(ctx, "k", []byte("v")); err != nil {
 		t.Fatal(err)
 	}
@@ -318,7 +318,7 @@
 func TestLimitsAndWatch(t *testing.T) {
 	s := newServer(t)
 	fake := clock.NewFake(time.Unix(0, 0))
-	limited := newClient(t, s, func(o *platform.Options) {
+	limited := newClient(t, s, func(o *objectstore.Options) {
 		o.Clock, o.WritesPerSecond, o.LimitWait = fake, 2, time.Millisecond
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -334,7 +334,7 @@
 		t.Fatal(err)
 	}
 
-	c := newClient(t, s, func(o *platform.Options) { o.WatchTimeout = time.Second })
+	c := newClient(t, s, func(o *objectstore.Options) { o.WatchTimeout = time.Second })
 	s.mu.Lock()
 	s.script = []fault{pass, pass}
 	s.mu.Unlock()
--- a/pkg/platform/memstore/memstore.go
+++ b/pkg/objectstore/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store with injectable faults, for
+// Package memstore is an in-memory objectstore.Store with injectable faults, for
 // unit tests. Several clients share one store and fail independently.
 package memstore
 
@@ -12,7 +12,7 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -40,9 +40,9 @@
 	clock clock.Clock
 
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	// log holds the latest change of each key, deletions too.
-	log     map[string]platform.Object
+	log     map[string]objectstore.Object
 	version uint64
 	delayed []func()
 	changed chan struct{}
@@ -53,8 +53,8 @@
 func New(c clock.Clock) *Store {
 	return &Store{
 		clock:   c,
-		objects: make(map[string]platform.Object),
-		log:     make(map[string]platform.Object),
+		objects: make(map[string]objectstore.Object),
+		log:     make(map[string]objectstore.Object),
 		changed: make(chan struct{}),
 	}
 }
@@ -87,7 +87,7 @@
 // Client returns a client without faults.
 func (s *Store) Client() *Client { return &Client{store: s} }
 
-// Client is a platform.Store over a shared Store. It is also a service, so
+// Client is a objectstore.Store over a shared Store. It is also a service, so
 // that tests can register it in a kernel.
 type Client struct {
 	kernel.Base
@@ -99,10 +99,10 @@
 	hook    func(op, key string) Fault
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ objectstore.Store = (*Client)(nil)
 
 // Name implements kernel.Service.
-func (*Client) Name() string { return platform.ServiceName }
+func (*Client) Name() string { return objectstore.ServiceName }
 
 // SetAway makes every call fail with PlatformAway and run state not_run.
 func (c *Client) SetAway(away bool) {
@@ -156,37 +156,37 @@
 	return fault, nil
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if _, err := c.before(ctx, "get", key); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	o, ok := c.store.objects[key]
 	if !ok {
-		return platform.Object{}, result.New(result.ObjectNotFound, "no object %q", key)
+		return objectstore.Object{}, result.New(result.ObjectNotFound, "no object %q", key)
 	}
 	o.Value = slices.Clone(o.Value)
 	return o, nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements objectstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	if _, err := c.before(ctx, "list", prefix); err != nil {
 		return nil, err
 	}
 	return c.store.list(prefix), nil
 }
 
-func (s *Store) list(prefix string) []platform.Object {
+func (s *Store) list(prefix string) []objectstore.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return selectObjects(s.objects, prefix, 0, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	return selectObjects(s.objects, prefix, 0, func(a, b objectstore.Object) int { return strings.Compare(a.Key, b.Key) })
 }
 
-// ListPage implements platform.Store.
-func (c *Client) ListPage(ctx context.Context, prefix, after string, limit int) ([]platform.Object, string, error) {
+// ListPage implements objectstore.Store.
+func (c *Client) ListPage(ctx context.Context, prefix, after string, limit int) ([]objectstore.Object, string, error) {
 	if _, err := c.before(ctx, "page", prefix); err != nil {
 		return nil, "", err
 	}
@@ -198,15 +198,15 @@
 	page, bytes := all[first:], 0
 	for i, o := range page {
 		bytes += len(o.Value)
-		if i > 0 && (i >= limit || bytes > platform.MaxObjectBytes) {
+		if i > 0 && (i >= limit || bytes > objectstore.MaxObjectBytes) {
 			return page[:i], page[i-1].Key, nil
 		}
 	}
 	return page, "", nil
 }
 
-func selectObjects(from map[string]platform.Object, prefix string, after uint64, order func(a, b platform.Object) int) []platform.Object {
-	var out []platform.Object
+func selectObjects(from map[string]objectstore.Object, prefix string, after uint64, order func(a, b objectstore.Object) int) []objectstore.Object {
+	var out []objectstore.Object
 	for key, o := range from {
 		if strings.HasPrefix(key, prefix) && o.Version > after {
 			o.Value = slices.Clone(o.Value)
@@ -217,29 +217,29 @@
 	return out
 }
 
-// Create implements platform.Store.
-func (c *Client) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
-	return c.write(ctx, "create", platform.Object{Key: key, Value: slices.Clone(value)}, 0)
+// Create implements objectstore.Store.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
+	return c.write(ctx, "create", objectstore.Object{Key: key, Value: slices.Clone(value)}, 0)
 }
 
-// Update implements platform.Store.
-func (c *Client) Update(ctx context.Context, key string, value []byte, version uint64) (platform.Object, error) {
-	return c.write(ctx, "update", platform.Object{Key: key, Value: slices.Clone(value)}, version)
+// Update implements objectstore.Store.
+func (c *Client) Update(ctx context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
+	return c.write(ctx, "update", objectstore.Object{Key: key, Value: slices.Clone(value)}, version)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (c *Client) Delete(ctx context.Context, key string, version uint64) error {
-	_, err := c.write(ctx, "delete", platform.Object{Key: key, Deleted: true}, version)
+	_, err := c.write(ctx, "delete", objectstore.Object{Key: key, Deleted: true}, version)
 	return err
 }
 
-func (c *Client) write(ctx context.Context, op string, o platform.Object, version uint64) (platform.Object, error) {
+func (c *Client) write(ctx context.Context, op string, o objectstore.Object, version uint64) (objectstore.Object, error) {
 	fault, err := c.before(ctx, op, o.Key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	if len(o.Value) > platform.MaxValueBytes {
-		return platform.Object{}, result.New(result.ObjectTooLarge, "the value of %q is too large", o.Key)
+	if len(o.Value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, result.New(result.ObjectTooLarge, "the value of %q is too large", o.Key)
 	}
 	s := c.store
 	s.mu.Lock()
@@ -247,26 +247,26 @@
 	lost := result.New(result.PlatformAway, "the answer was lost").WithRun(result.Unknown)
 	switch fault {
 	case Dropped:
-		return platform.Object{}, lost
+		return objectstore.Object{}, lost
 	case Delayed:
 		s.delayed = append(s.delayed, func() { _, _ = s.applyLocked(o, version) })
-		return platform.Object{}, lost
+		return objectstore.Object{}, lost
 	}
 	written, err := s.applyLocked(o, version)
 	if fault == Lost {
-		return platform.Object{}, lost
+		return objectstore.Object{}, lost
 	}
 	return written, err
 }
 
 // applyLocked makes a conditional change; version 0 means creation.
-func (s *Store) applyLocked(o platform.Object, version uint64) (platform.Object, error) {
+func (s *Store) applyLocked(o objectstore.Object, version uint64) (objectstore.Object, error) {
 	present, exists := s.objects[o.Key]
 	if version > 0 && !exists {
-		return platform.Object{}, result.New(result.ObjectNotFound, "no object %q", o.Key)
+		return objectstore.Object{}, result.New(result.ObjectNotFound, "no object %q", o.Key)
 	}
 	if present.Version != version {
-		return platform.Object{}, result.New(result.ObjectConflict, "object %q has another version", o.Key)
+		return objectstore.Object{}, result.New(result.ObjectConflict, "object %q has another version", o.Key)
 	}
 	s.version++
 	s.writes++
@@ -286,20 +286,20 @@
 // Changes returns the latest change of each key under prefix after the given
 // version in version order, the version up to which they are complete, and a
 // channel that is closed at the next change.
-func (s *Store) Changes(prefix string, after uint64) ([]platform.Object, uint64, <-chan struct{}) {
+func (s *Store) Changes(prefix string, after uint64) ([]objectstore.Object, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	byVersion := func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) }
+	byVersion := func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) }
 	return selectObjects(s.log, prefix, after, byVersion), s.version, s.changed
 }
 
 // watchBuffer is the capacity of a watch's channel.
 const watchBuffer = 16
 
-// Watch implements platform.Store. While the client is away it sends nothing;
+// Watch implements objectstore.Store. While the client is away it sends nothing;
 // it looks again at the next change.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (<-chan platform.Object, error) {
-	out := make(chan platform.Object, watchBuffer)
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (<-chan objectstore.Object, error) {
+	out := make(chan objectstore.Object, watchBuffer)
 	go func() {
 		defer close(out)
 		for {
--- a/pkg/platform/page_test.go
+++ b/pkg/objectstore/page_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"testing"
 
 	"cassiapin/pkg/clock"
-	"cassiapin/pkg/platform"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/standin/objectapi"
 )
 
@@ -23,16 +23,16 @@
 		t.Fatal(err)
 	}
 	defer stop()
-	client, err := platform.New(platform.Options{BaseURLs: []string{url}, ReadsPerSecond: 1e6, WritesPerSecond: 1e6})
+	client, err := objectstore.New(objectstore.Options{BaseURLs: []string{url}, ReadsPerSecond: 1e6, WritesPerSecond: 1e6})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer client.Cleanup()
-	for name, store := range map[string]platform.Store{"client": client, "memstore": memstore.New(clock.Real{}).Client()} {
+	for name, store := range map[string]objectstore.Store{"client": client, "memstore": memstore.New(clock.Real{}).Client()} {
 		rng, want := rand.New(rand.NewSource(1)), []string{}
 		for i := range 60 {
 			key := fmt.Sprintf("bills/2026 12&/%02d", i)
-			o, err := store.Create(ctx, key, make([]byte, rng.Intn(platform.MaxValueBytes/(1+i%5))))
+			o, err := store.Create(ctx, key, make([]byte, rng.Intn(objectstore.MaxValueBytes/(1+i%5))))
 			if err == nil && i%7 == 0 {
 				err = store.Delete(ctx, key, o.Version)
 			} else {
@@ -55,7 +55,7 @@
 			for _, o := range page {
 				got, bytes = append(got, o.Key), bytes+len(o.Value)
 			}
-			if len(page) > 4 || bytes > platform.MaxObjectBytes {
+			if len(page) > 4 || bytes > objectstore.MaxObjectBytes {
 				t.Fatalf("%s: a page of %d objects and %d bytes", name, len(page), bytes)
 			}
 			if after = next; next == "" {
@@ -63,7 +63,7 @@
 			}
 		}
 		each := []string{}
-		err := platform.Each(ctx, store, "bills/2026 12&/", func(o platform.Object) error {
+		err := objectstore.Each(ctx, store, "bills/2026 12&/", func(o objectstore.Object) error {
 			each = append(each, o.Key)
 			return nil
 		})
--- a/pkg/platform/store.go
+++ b/pkg/objectstore/store.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API: versioned
+// Package objectstore is the client of the platform's object API: versioned
 // objects with conditional updates and watches.
-package platform
+package objectstore
 
 import "context"
 
--- a/pkg/platform/watch.go
+++ b/pkg/objectstore/watch.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"cmp"
--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -15,7 +15,7 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/lease"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 )
 
--- a/pkg/once/service.go
+++ b/pkg/once/service.go
@@ -15,7 +15,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -75,7 +75,7 @@
 	// Resolver may be nil.
 	Resolver Resolver
 	// Store, Leases, Clock, Recorder and Log are taken from the kernel when nil.
-	Store    platform.Store
+	Store    objectstore.Store
 	Leases   lease.Manager
 	Clock    clock.Clock
 	Recorder timeline.Recorder
@@ -136,7 +136,7 @@
 	if s.opts.Log == nil {
 		s.opts.Log = k.Log
 	}
-	kernel.Need(f, platform.ServiceName, &s.opts.Store)
+	kernel.Need(f, objectstore.ServiceName, &s.opts.Store)
 	kernel.Need(f, lease.ServiceName, &s.opts.Leases)
 	kernel.Need(f, timeline.ServiceName, &s.opts.Recorder)
 	return f.Err()
--- a/pkg/once/slot.go
+++ b/pkg/once/slot.go
@@ -10,7 +10,7 @@
 	"math/rand"
 	"time"
 
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -54,7 +54,7 @@
 	return keyPrefix + fmt.Sprintf("%0*x", slotDigits, r.Intn(1<<(4*slotDigits)))
 }
 
-func decodeSlot(o platform.Object) (slot, error) {
+func decodeSlot(o objectstore.Object) (slot, error) {
 	b := slot{key: o.Key, version: o.Version}
 	if err := json.Unmarshal(o.Value, &b.records); err != nil {
 		return slot{}, result.Wrap(err, result.Internal, result.NotRun, "the request records are malformed")
@@ -100,7 +100,7 @@
 	if err != nil {
 		return slot{}, result.Wrap(err, result.Internal, result.NotRun, "encode request records")
 	}
-	var o platform.Object
+	var o objectstore.Object
 	if b.version == 0 {
 		o, err = s.opts.Store.Create(ctx, b.key, raw)
 	} else {
--- a/pkg/once/slot_test.go
+++ b/pkg/once/slot_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"cassiapin/pkg/clock"
-	"cassiapin/pkg/platform"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 )
 
@@ -56,7 +56,7 @@
 		}
 	}
 	objects, records := 0, 0
-	_ = platform.Each(ctx, client, keyPrefix, func(o platform.Object) error {
+	_ = objectstore.Each(ctx, client, keyPrefix, func(o objectstore.Object) error {
 		b, err := decodeSlot(o)
 		objects, records = objects+1, records+len(b.records)
 		return err
--- a/pkg/orders/orders_test.go
+++ b/pkg/orders/orders_test.go
@@ -12,7 +12,7 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/runners"
 	"cassiapin/pkg/upstream"
@@ -21,35 +21,35 @@
 // world is a runner, its table, the lease and the platform.
 type world struct {
 	runners.Table
-	platform.Store
+	objectstore.Store
 	report  runners.Report
 	epoch   uint64
 	own     bool
 	away    bool
 	onWrite func()
-	object  *platform.Object
+	object  *objectstore.Object
 	got     []string
 }
 
 func (w *world) Status() []runners.RunnerStatus { return []runners.RunnerStatus{{Report: w.report}} }
 func (w *world) Owner(string) (uint64, bool)    { return w.epoch, w.own }
 
-func (w *world) Get(context.Context, string) (platform.Object, error) {
+func (w *world) Get(context.Context, string) (objectstore.Object, error) {
 	switch {
 	case w.away:
-		return platform.Object{}, result.New(result.PlatformAway, "away")
+		return objectstore.Object{}, result.New(result.PlatformAway, "away")
 	case w.object == nil:
-		return platform.Object{}, result.New(result.ObjectNotFound, "none")
+		return objectstore.Object{}, result.New(result.ObjectNotFound, "none")
 	}
 	return *w.object, nil
 }
 
-func (w *world) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
+func (w *world) Create(_ context.Context, key string, value []byte) (objectstore.Object, error) {
 	return w.Update(context.Background(), key, value, 0)
 }
 
-func (w *world) Update(_ context.Context, key string, value []byte, version uint64) (platform.Object, error) {
-	w.object = &platform.Object{Key: key, Value: value, Version: version + 1}
+func (w *world) Update(_ context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
+	w.object = &objectstore.Object{Key: key, Value: value, Version: version + 1}
 	if w.onWrite != nil {
 		w.onWrite()
 	}
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -16,7 +16,7 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/runners"
 	"cassiapin/pkg/timeline"
@@ -75,7 +75,7 @@
 	options Options
 	clock   clock.Clock
 	source  config.Source
-	store   platform.Store
+	store   objectstore.Store
 	table   runners.Table
 	owner   runners.Ownership
 	members peer.Members
@@ -113,7 +113,7 @@
 	kernel.Need(f, config.SourceServiceName, &s.source)
 	kernel.Need(f, runners.ServiceName, &s.table)
 	kernel.Need(f, runners.ServiceName, &s.owner)
-	kernel.Want(f, platform.ServiceName, &s.store)
+	kernel.Want(f, objectstore.ServiceName, &s.store)
 	kernel.Want(f, timeline.ServiceName, &s.events)
 	kernel.Want(f, peer.MembershipServiceName, &s.members)
 	if s.members != nil && s.options.Node == "" {
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -11,7 +11,7 @@
 
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
@@ -241,7 +241,7 @@
 	c.Epoch, c.dirty, c.saved = s.epoch, false, now
 	value, err := json.Marshal(c.State)
 	s.mu.Unlock()
-	var object platform.Object
+	var object objectstore.Object
 	if err == nil && c.version == 0 {
 		object, err = s.store.Create(ctx, stateKey(c.id), value)
 	} else if err == nil {
--- a/pkg/rollout/service.go
+++ b/pkg/rollout/service.go
@@ -16,7 +16,7 @@
 	"cassiapin/pkg/lease"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/plan"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/quality"
 	"cassiapin/pkg/timeline"
 )
@@ -55,7 +55,7 @@
 	members   peer.Members
 	messenger peer.Messenger
 	leases    lease.Manager
-	store     platform.Store
+	store     objectstore.Store
 	recorder  timeline.Recorder
 	wake      chan struct{}
 
@@ -117,7 +117,7 @@
 	kernel.Want(f, peer.MembershipServiceName, &s.members)
 	kernel.Want(f, peer.TransportServiceName, &s.messenger)
 	kernel.Want(f, lease.ServiceName, &s.leases)
-	kernel.Want(f, platform.ServiceName, &s.store)
+	kernel.Want(f, objectstore.ServiceName, &s.store)
 	s.recorder = timeline.Discard{}
 	kernel.Want(f, timeline.ServiceName, &s.recorder)
 	if s.messenger != nil {
--- a/pkg/rollout/world_test.go
+++ b/pkg/rollout/world_test.go
@@ -17,7 +17,7 @@
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -29,7 +29,7 @@
 	marks    config.Marks
 	snapshot *config.Snapshot
 	rollouts []config.Rollout // Those of the snapshot; tests may pause them.
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	away     bool
 	holder   *node
 	epoch    uint64
@@ -138,11 +138,11 @@
 
 type fakeStore struct {
 	standin
-	platform.Store
+	objectstore.Store
 }
 
 func (f fakeStore) Name() string { return f.name }
-func (f fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (f fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
 	o, ok := f.world.objects[key]
@@ -154,7 +154,7 @@
 	}
 	return o, nil
 }
-func (f fakeStore) List(context.Context, string) (objects []platform.Object, err error) {
+func (f fakeStore) List(context.Context, string) (objects []objectstore.Object, err error) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
 	for _, o := range f.world.objects {
@@ -162,19 +162,19 @@
 	}
 	return objects, nil
 }
-func (f fakeStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (f fakeStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return f.Update(ctx, key, value, 0)
 }
-func (f fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (platform.Object, error) {
+func (f fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
 	if f.world.away {
-		return platform.Object{}, result.New(result.PlatformAway, "away")
+		return objectstore.Object{}, result.New(result.PlatformAway, "away")
 	}
 	if f.world.objects[key].Version != version {
-		return platform.Object{}, result.New(result.ObjectConflict, "version")
+		return objectstore.Object{}, result.New(result.ObjectConflict, "version")
 	}
-	o := platform.Object{Key: key, Value: value, Version: version + 1}
+	o := objectstore.Object{Key: key, Value: value, Version: version + 1}
 	f.world.objects[key] = o
 	if strings.Contains(string(value), `"halted"`) {
 		f.world.log = append(f.world.log, "state")
@@ -184,7 +184,7 @@
 
 func newWorld(t *testing.T, rollouts ...config.Rollout) *world {
 	return &world{
-		t: t, clock: clock.NewFake(time.Unix(1000, 0)), objects: map[string]platform.Object{}, rollouts: rollouts,
+		t: t, clock: clock.NewFake(time.Unix(1000, 0)), objects: map[string]objectstore.Object{}, rollouts: rollouts,
 		snapshot: config.NewSnapshot(1, "", config.Declarations{Rollouts: rollouts}),
 	}
 }
@@ -197,7 +197,7 @@
 	as := func(name string) standin { return standin{node: n, name: name} }
 	err := k.Register(fakeSource{as(config.SourceServiceName)}, fakeMessenger{standin: as(peer.TransportServiceName)},
 		fakeMembers{standin: as(peer.MembershipServiceName)}, fakeLeases{standin: as(lease.ServiceName)},
-		fakeStore{standin: as(platform.ServiceName)}, n.Service)
+		fakeStore{standin: as(objectstore.ServiceName)}, n.Service)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -16,7 +16,7 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/peer/keys"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/publish"
 	"cassiapin/pkg/runners"
 	"cassiapin/pkg/settings"
@@ -59,7 +59,7 @@
 	engines    map[string]*engine.Engine
 	services   map[string]*plain.Server
 	// store reaches the object API without a link.
-	store    *platform.Client
+	store    *objectstore.Client
 	operator *admin.Client
 	relay    *relay
 	// runnerLinks and serviceLinks are by runner and by failure domain.
@@ -132,7 +132,7 @@
 	w.ratingLink = newLink(w.t, "rating", w.serve(ratings))
 	w.weightsLink = newLink(w.t, "weights", w.serve(weights.New(weights.Options{})))
 	var err error
-	if w.store, err = platform.New(platform.Options{BaseURLs: []string{w.objectsURL}}); err != nil {
+	if w.store, err = objectstore.New(objectstore.Options{BaseURLs: []string{w.objectsURL}}); err != nil {
 		w.t.Fatal(err)
 	}
 }
