--- a/pkg/billing/billing_test.go
+++ b/pkg/billing/billing_test.go
@@ -17,8 +17,8 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore/memstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 	"cassiapin/pkg/upstream"
--- a/pkg/billing/service.go
+++ b/pkg/billing/service.go
@@ -13,8 +13,8 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
--- /dev/null
+++ b/pkg/cutover/assign.go
@@ -0,0 +1,172 @@
+package cutover
+
+import (
+	"math"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+// Assignment says which releases of a service a request may use.
+type Assignment struct {
+	// only is the one release that is allowed; empty is any.
+	only string
+	// not are releases that are not allowed.
+	not      map[string]bool
+	fallback *Assignment
+}
+
+// Permits reports whether an upstream of the release may get the request.
+func (a *Assignment) Permits(release string) bool {
+	return (a.only == "" || a.only == release) && !a.not[release]
+}
+
+// HasFallback reports whether there is another choice when no upstream of the
+// permitted releases can be used.
+func (a *Assignment) HasFallback() bool { return a.fallback != nil }
+
+// Fallback returns the other choice.
+func (a *Assignment) Fallback() *Assignment { return a.fallback }
+
+// Assign decides on the release for a request of a session; an empty session
+// is one by itself.
+func (s *Service) Assign(service, session string, now time.Time) *Assignment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.trials[service]
+	if t == nil {
+		s.noteSession(service, session, now)
+		return s.settled(service, now)
+	}
+	target := t.order.Target
+	old := &Assignment{not: map[string]bool{target: true}}
+	for key := range s.rejected {
+		if key.service == service {
+			old.not[key.release] = true
+		}
+	}
+	switch t.order.State {
+	case topology.RolloutCompleted:
+		return &Assignment{only: target, fallback: old}
+	case topology.RolloutRolledBack:
+		s.noteSession(service, session, now)
+		return old
+	}
+	if s.useNew(t, service, session, now) {
+		return &Assignment{only: target, fallback: old}
+	}
+	if t.progress(now) >= firstHalf && t.halted == "" {
+		// Moving to the new release is allowed from here on.
+		old.fallback = &Assignment{only: target}
+	}
+	return old
+}
+
+// settled is the assignment without an order: every release but those that
+// were rolled back or have just appeared.
+func (s *Service) settled(service string, now time.Time) *Assignment {
+	a := &Assignment{not: make(map[string]bool)}
+	rejected := make(map[string]bool)
+	for key := range s.rejected {
+		if key.service == service {
+			a.not[key.release], rejected[key.release] = true, true
+		}
+	}
+	for key, at := range s.firstSeen {
+		if key.service == service && now.Sub(at) < probation {
+			a.not[key.release] = true
+		}
+	}
+	if len(a.not) > len(rejected) {
+		a.fallback = &Assignment{not: rejected}
+	}
+	return a
+}
+
+// useNew decides whether a request under trial goes to the new release.
+func (s *Service) useNew(t *trial, service, session string, now time.Time) bool {
+	if t.share == 0 {
+		s.noteSession(service, session, now)
+		return false
+	}
+	key, place := s.place(service, session)
+	if place >= t.share {
+		return false
+	}
+	if t.progress(now) >= firstHalf {
+		return true
+	}
+	bound, known := s.sessions.get(key, now)
+	if !known {
+		bound.new = !t.overExposed(now, s.opts.ExposureShare, s.opts.ExposureExtra)
+	}
+	if session != "" {
+		s.sessions.bind(key, bound.new, now)
+	}
+	return bound.new
+}
+
+// noteSession remembers a session at the old release if it might be chosen to
+// try a new one.
+func (s *Service) noteSession(service, session string, now time.Time) {
+	if session == "" {
+		return
+	}
+	if key, place := s.place(service, session); place < trialShare {
+		s.sessions.bind(key, false, now)
+	}
+}
+
+// place returns a session's key and its cohort between 0 and 1, on which all
+// nodes agree.
+func (s *Service) place(service, session string) (key uint64, place float64) {
+	if session == "" {
+		return 0, randomFloat()
+	}
+	key = hash(service + "\x00" + session)
+	return key, float64(key) / math.MaxUint64
+}
+
+// Opened counts a send to a release. The returned function counts its end.
+func (s *Service) Opened(service, release string) (closed func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.trials[service]
+	if t == nil || t.order.State.Final() {
+		return func() {}
+	}
+	t.sent++
+	if release == t.order.Target {
+		t.newSent++
+		return func() {}
+	}
+	t.openOld++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.openOld--
+	}
+}
+
+// Answered counts an answer of the application: whether it was good, and the
+// time to its first byte.
+func (s *Service) Answered(service, release, cell string, good bool, firstByte time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.trials[service]
+	if t == nil || t.order.State.Final() {
+		return
+	}
+	c := t.own[cell]
+	side := &c.Old
+	if release == t.order.Target {
+		side = &c.New
+	}
+	if good {
+		side.Good++
+		side.FirstByteMS += uint64(firstByte.Milliseconds())
+	} else {
+		side.Bad++
+	}
+	t.own[cell] = c
+}
--- /dev/null
+++ b/pkg/cutover/service.go
@@ -0,0 +1,335 @@
+package cutover
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/result"
+	"cassiapin/pkg/topology"
+)
+
+// ServiceName is the name under which a node registers its Service.
+const ServiceName = "route.cutover"
+
+// Store writes the state of an order if nobody else has changed it.
+type Store interface {
+	// WriteRollout fails with result.ObjectConflict when the order has another
+	// revision. After result.PlatformAway the write may still take effect.
+	WriteRollout(ctx context.Context, r *topology.Rollout, state topology.RolloutState) error
+}
+
+// Knowledge gives the node's view.
+type Knowledge interface {
+	View() *topology.View
+	Changed() <-chan struct{}
+}
+
+// Fleet gives the other nodes and carries messages to them.
+type Fleet interface {
+	// Self is this node's id, Peers the ids of the other nodes that are alive.
+	Self() string
+	Peers() []string
+	// Tell sends a message to all nodes; it does not block.
+	Tell(m Message) error
+	// Receive registers the handler of messages.
+	Receive(handle func(m Message))
+}
+
+// Message tells other nodes what a node knows of one trial.
+type Message struct {
+	Service string            `cbor:"1,keyasint"`
+	Created topology.Revision `cbor:"2,keyasint"`
+	// ElapsedMS is the time since the order by this node's knowledge.
+	ElapsedMS uint64   `cbor:"3,keyasint"`
+	Halted    string   `cbor:"4,keyasint,omitempty"`
+	Evidence  Evidence `cbor:"5,keyasint,omitempty"`
+	NewSent   uint64   `cbor:"6,keyasint,omitempty"`
+	Sent      uint64   `cbor:"7,keyasint,omitempty"`
+	// Moved tells that the node has no request at the old release and sends
+	// none.
+	Moved bool `cbor:"8,keyasint,omitempty"`
+	// OldSessions and NewSessions are bindings of sessions.
+	OldSessions []uint64 `cbor:"9,keyasint,omitempty"`
+	NewSessions []uint64 `cbor:"10,keyasint,omitempty"`
+	// Node is the id of the node that the message is from; other nodes may
+	// pass it on.
+	Node string `cbor:"11,keyasint"`
+}
+
+// Options are the settings of a Service.
+type Options struct {
+	Store     Store
+	Knowledge Knowledge
+	Fleet     Fleet
+	// SessionGap is the longest pause between requests of one session.
+	SessionGap time.Duration
+	// ExposureShare and ExposureExtra bound what a bad release may get.
+	ExposureShare, ExposureExtra float64
+}
+
+const (
+	// tick is the period of messages during a trial, and of the schedule.
+	tick = 250 * time.Millisecond
+	// silentPeer is the age from which a peer's report does not count.
+	silentPeer = 4 * tick
+	// writeTurn is the time that each node leaves to those before it to write
+	// the state of an order.
+	writeTurn = 400 * time.Millisecond
+	// rewrite is the pause before a write whose effect is not seen is
+	// repeated.
+	rewrite = 1500 * time.Millisecond
+	// probation is the time for which a release that appears without an order
+	// gets nothing; the order may be read a little later than its upstreams.
+	probation = 3 * time.Second
+)
+
+// Service assigns requests to releases and judges new ones. It is registered
+// as ServiceName.
+type Service struct {
+	kernel.Base
+	opts  Options
+	clock clock.Clock
+	log   *slog.Logger
+
+	mu       sync.Mutex
+	trials   map[string]*trial
+	sessions *sessions
+	// firstSeen is when a release of a service was first seen; rejected are
+	// releases that were rolled back.
+	firstSeen map[releaseKey]time.Time
+	rejected  map[releaseKey]bool
+	synced    bool
+}
+
+type releaseKey struct{ service, release string }
+
+// New returns a service without trials.
+func New(o Options) *Service {
+	return &Service{
+		opts:      o,
+		trials:    make(map[string]*trial),
+		sessions:  newSessions(o.SessionGap),
+		firstSeen: make(map[releaseKey]time.Time),
+		rejected:  make(map[releaseKey]bool),
+	}
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return ServiceName }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	s.clock, s.log = k.Clock, k.Log
+	s.opts.Fleet.Receive(s.receive)
+	return nil
+}
+
+// Run starts the duties that follow the view and that write states.
+func (s *Service) Run(t *tomb.Tomb) error {
+	ctx := t.Context(nil)
+	t.Go(func() error {
+		for ctx.Err() == nil {
+			changed := s.opts.Knowledge.Changed()
+			s.follow()
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	})
+	t.Go(func() error {
+		for s.clock.Sleep(ctx, tick) == nil {
+			s.step(ctx)
+		}
+		return nil
+	})
+	return nil
+}
+
+// follow takes orders and releases from the view.
+func (s *Service) follow() {
+	view := s.opts.Knowledge.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for service, upstreams := range view.Upstreams {
+		for _, u := range upstreams {
+			key := releaseKey{service, u.Release}
+			if _, ok := s.firstSeen[key]; ok {
+				continue
+			}
+			s.firstSeen[key] = now
+			if !s.synced {
+				s.firstSeen[key] = time.Time{} // It was there before this node.
+			}
+		}
+	}
+	s.synced = s.synced || len(view.Upstreams) > 0
+	for service, r := range view.Rollouts {
+		t := s.trials[service]
+		if t == nil || t.order.Created != r.Created {
+			t = newTrial(r, now)
+			s.trials[service] = t
+			s.log.Info(eventlog.RolloutStarted, "service", service, "target", r.Target, "state", r.State.String(),
+				"duration_ms", r.Duration.Milliseconds(), "revision", r.Revision)
+			delete(s.rejected, releaseKey{service, r.Target})
+		}
+		t.order = r
+		if r.State == topology.RolloutRolledBack {
+			s.rejected[releaseKey{service, r.Target}] = true
+			s.halt(t, "rolled back")
+		}
+	}
+	for service := range s.trials {
+		if view.Rollouts[service] == nil {
+			delete(s.trials, service)
+		}
+	}
+}
+
+// halt stops a trial; the caller holds the lock.
+func (s *Service) halt(t *trial, reason string) {
+	if t.halted != "" || t.order.State == topology.RolloutCompleted {
+		return
+	}
+	t.halted, t.share = reason, 0
+	s.log.Warn(eventlog.RolloutVerdict, "service", t.order.Service, "target", t.order.Target, "verdict", "bad",
+		"reason", reason, "evidence_nodes", len(t.peers)+1, "elapsed_ms", s.clock.Since(t.started).Milliseconds())
+}
+
+// step moves the trials on, tells the peers and writes states.
+func (s *Service) step(ctx context.Context) {
+	type write struct {
+		order *topology.Rollout
+		state topology.RolloutState
+	}
+	var writes []write
+	var messages []Message
+	s.mu.Lock()
+	now := s.clock.Now()
+	peers := s.opts.Fleet.Peers()
+	for _, t := range s.trials {
+		if t.order.State.Final() {
+			continue
+		}
+		if reason := Judge(t.evidence()); reason != "" {
+			s.halt(t, reason)
+		}
+		if share := t.shareAt(now, s.opts.ExposureShare); share != t.share {
+			s.log.Info(eventlog.RolloutShare, "service", t.order.Service, "target", t.order.Target, "share", share,
+				"progress", t.progress(now), "evidence_nodes", len(t.peers)+1)
+			t.share = share
+		}
+		messages = append(messages, s.message(t, now))
+		if state, ok := s.due(t, peers, now); ok {
+			t.written = now
+			writes = append(writes, write{t.order, state})
+		}
+	}
+	s.mu.Unlock()
+	for _, m := range messages {
+		if err := s.opts.Fleet.Tell(m); err != nil {
+			metrics.GetOrCreateCounter("cassiapin_cutover_untold_total").Inc()
+		}
+	}
+	for _, w := range writes {
+		s.write(ctx, w.order, w.state)
+	}
+}
+
+func (s *Service) message(t *trial, now time.Time) Message {
+	m := Message{
+		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created, ElapsedMS: uint64(now.Sub(t.started).Milliseconds()),
+		Halted: t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.share == 1 && t.openOld == 0,
+		Evidence: make(Evidence, len(t.own)),
+	}
+	for key, cell := range t.own {
+		m.Evidence[key] = cell
+	}
+	if t.progress(now) < firstHalf {
+		m.OldSessions, m.NewSessions = s.sessions.take(now.Sub(t.started) < lead, now)
+	}
+	return m
+}
+
+// due returns the state that this node has to write now, if any.
+func (s *Service) due(t *trial, peers []string, now time.Time) (topology.RolloutState, bool) {
+	if !t.written.IsZero() && now.Sub(t.written) < rewrite {
+		return 0, false
+	}
+	turn := time.Duration(rank(t.order.Created, s.opts.Fleet.Self(), peers)) * writeTurn
+	switch {
+	case t.halted != "":
+		if t.haltedAt.IsZero() {
+			t.haltedAt = now
+		}
+		return topology.RolloutRolledBack, now.Sub(t.haltedAt) >= turn
+	case t.drained(now, peers, silentPeer):
+		if t.drainedAt.IsZero() {
+			t.drainedAt = now
+		}
+		return topology.RolloutCompleted, now.Sub(t.drainedAt) >= turn
+	case t.order.State == topology.RolloutRequested && !t.announced && turn == 0:
+		t.announced = true
+		return topology.RolloutRunning, true
+	}
+	t.drainedAt = time.Time{}
+	return 0, false
+}
+
+// rank is the place of this node in the order in which nodes write.
+func rank(created topology.Revision, self string, peers []string) int {
+	place := 0
+	own := cohort(uint64(created), self)
+	for _, p := range peers {
+		if cohort(uint64(created), p) < own {
+			place++
+		}
+	}
+	return place
+}
+
+func (s *Service) write(ctx context.Context, order *topology.Rollout, state topology.RolloutState) {
+	err := s.opts.Store.WriteRollout(ctx, order, state)
+	attrs := []any{"service", order.Service, "target", order.Target, "state", state.String(), "revision", order.Revision}
+	if err != nil {
+		// The watch shows what became of the order; it is written again if it
+		// is still due then.
+		s.log.Warn(eventlog.RolloutWritten, append(attrs, "error", err.Error(), "code", int(result.CodeOf(err)))...)
+		return
+	}
+	s.log.Info(eventlog.RolloutWritten, attrs...)
+}
+
+// receive takes a peer's message.
+func (s *Service) receive(m Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, key := range m.OldSessions {
+		s.sessions.learn(key, false, now)
+	}
+	for _, key := range m.NewSessions {
+		s.sessions.learn(key, true, now)
+	}
+	t := s.trials[m.Service]
+	if t == nil || t.order.Created != m.Created {
+		return
+	}
+	t.peers[m.Node] = peerReport{message: m, at: now}
+	if start := now.Add(-time.Duration(m.ElapsedMS) * time.Millisecond); start.Before(t.started) {
+		t.started = start
+	}
+	if m.Halted != "" {
+		s.halt(t, m.Halted)
+	}
+}
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -18,9 +18,9 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/membership"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/peer/memnet"
-	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
--- a/pkg/distribution/freshness.go
+++ b/pkg/distribution/freshness.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 )
 
--- a/pkg/distribution/marks.go
+++ b/pkg/distribution/marks.go
@@ -12,8 +12,8 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
--- a/pkg/distribution/service.go
+++ b/pkg/distribution/service.go
@@ -23,8 +23,8 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/membership"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
--- /dev/null
+++ b/pkg/edge/readiness.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/kernel"
+)
+
+// readyInterval is the period at which the node tells its members whether it
+// serves.
+const readyInterval = 100 * time.Millisecond
+
+// readiness publishes to the other nodes whether this one serves callers.
+type readiness struct {
+	kernel.Base
+	node *Node
+}
+
+func (*readiness) Name() string { return "node.readiness" }
+
+func (r *readiness) Run(t *tomb.Tomb) error {
+	t.Go(func() error {
+		ticker := time.NewTicker(readyInterval)
+		defer ticker.Stop()
+		last := false
+		for {
+			select {
+			case <-t.Dying():
+				return nil
+			case <-ticker.C:
+			}
+			if now := r.node.Ready(); now != last {
+				last = now
+				r.node.members.SetReady(now)
+			}
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/pkg/edge/servers.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/kernel"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's headers arrive;
+	// callers' limits in the configuration are at most some seconds.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections without requests. It is above the time
+	// for which callers reuse them.
+	idleTimeout = 20 * time.Second
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+	// closeTimeout bounds the end of questions to the other addresses.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// servers runs the HTTP listeners of a node.
+type servers struct {
+	kernel.Base
+	all []*server
+}
+
+type server struct {
+	http.Server
+	listener net.Listener
+	// callers marks the server whose requests have to be finished.
+	callers bool
+}
+
+func (*servers) Name() string { return "node.servers" }
+
+func (s *servers) add(l net.Listener, handler http.Handler, callers bool) {
+	s.all = append(s.all, &server{
+		Server: http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		},
+		listener: l, callers: callers,
+	})
+}
+
+func (s *servers) closeListeners() {
+	for _, server := range s.all {
+		_ = server.listener.Close() // The node does not start; nothing is lost.
+	}
+}
+
+// Run serves until the tomb dies.
+func (s *servers) Run(t *tomb.Tomb) error {
+	for _, server := range s.all {
+		t.Go(func() error {
+			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	t.Go(func() error {
+		<-t.Dying()
+		for _, server := range s.all {
+			_ = server.Close() // What is still open has had its time.
+		}
+		return nil
+	})
+	return nil
+}
+
+// shutdown takes no more connections from callers and waits for their open
+// requests until ctx ends.
+func (s *servers) shutdown(ctx context.Context) error {
+	var err error
+	for _, server := range s.all {
+		if server.callers {
+			err = errors.CombineErrors(err, server.Shutdown(ctx))
+		}
+	}
+	return err
+}
+
+// metricsHandler serves the counters of the process.
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return mux
+}
--- /dev/null
+++ b/pkg/eventlog/eventlog.go
@@ -0,0 +1,116 @@
+// Package eventlog writes structured log lines without ever blocking the
+// process: lines go through a bounded queue, and lines that do not fit are
+// counted and reported by the next line that is written.
+package eventlog
+
+import (
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// queueLines bounds the lines that wait for the writer. At a few hundred
+	// bytes a line the queue stays under a megabyte.
+	queueLines = 2048
+	// reserveLines of the queue are left to warnings and errors, so that
+	// routine lines cannot displace the record of a failure.
+	reserveLines = 512
+	// flushTimeout bounds the wait for the queue when the process ends.
+	flushTimeout = 300 * time.Millisecond
+)
+
+// Log is a slog output with a bounded queue.
+type Log struct {
+	out     io.Writer
+	queue   chan []byte
+	done    chan struct{}
+	mu      sync.Mutex
+	dropped int
+	closed  bool
+	lost    *metrics.Counter
+}
+
+// New starts a log that writes to out. Close ends it.
+func New(out io.Writer) *Log {
+	l := &Log{
+		out: out, queue: make(chan []byte, queueLines), done: make(chan struct{}),
+		lost: metrics.GetOrCreateCounter("cassiapin_log_lines_dropped_total"),
+	}
+	go l.write()
+	return l
+}
+
+// Logger returns a logger of JSON lines at the level.
+func (l *Log) Logger(level slog.Level) *slog.Logger {
+	routine := slog.NewJSONHandler(&sink{log: l, room: queueLines - reserveLines}, &slog.HandlerOptions{Level: level})
+	urgent := slog.NewJSONHandler(&sink{log: l, room: queueLines}, &slog.HandlerOptions{Level: level})
+	return slog.New(&split{routine: routine, urgent: urgent})
+}
+
+// Close writes the lines that wait, as far as that succeeds quickly.
+func (l *Log) Close() {
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.queue)
+	}
+	l.mu.Unlock()
+	select {
+	case <-l.done:
+	case <-time.After(flushTimeout):
+	}
+}
+
+func (l *Log) write() {
+	defer close(l.done)
+	for line := range l.queue {
+		if _, err := l.out.Write(line); err != nil {
+			// Nobody reads the log any more; the counter is the only record.
+			l.lost.Inc()
+		}
+	}
+}
+
+// offer queues a line if fewer than room lines wait.
+func (l *Log) offer(line []byte, room int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.queue) >= room {
+		l.dropped++
+		l.lost.Inc()
+		return
+	}
+	if l.dropped > 0 && len(l.queue) < cap(l.queue)-1 {
+		l.queue <- droppedLine(l.dropped)
+		l.dropped = 0
+	}
+	l.queue <- line
+}
+
+func droppedLine(n int) []byte {
+	var b buffer
+	slog.New(slog.NewJSONHandler(&b, nil)).Warn(LinesDropped, "lines", n)
+	return b
+}
+
+type buffer []byte
+
+func (b *buffer) Write(p []byte) (int, error) {
+	*b = append(*b, p...)
+	return len(p), nil
+}
+
+// sink receives one line a call from a handler.
+type sink struct {
+	log  *Log
+	room int
+}
+
+func (s *sink) Write(p []byte) (int, error) {
+	s.log.offer(append([]byte(nil), p...), s.room)
+	return len(p), nil
+}
--- /dev/null
+++ b/pkg/eventlog/events.go
@@ -0,0 +1,37 @@
+package eventlog
+
+// The messages of structured log lines. docs/OPERATIONS.md explains each.
+const (
+	NodeStarted    = "node started"
+	NodeLeaving    = "node leaving"
+	NodeStopped    = "node stopped"
+	SettingsTaken  = "settings taken"
+	SettingsFailed = "settings refused"
+
+	StoreLost      = "store lost"
+	StoreRegained  = "store regained"
+	HistoryLost    = "store history lost"
+	ObjectRefused  = "object refused"
+	ConfigTaken    = "configuration taken"
+	UpstreamRead   = "upstream read"
+	UpstreamGone   = "upstream gone"
+	RolloutRead    = "rollout read"
+	EvacuationRead = "evacuation read"
+
+	RequestDone     = "request done"
+	RequestRefused  = "request refused"
+	RequestFailed   = "request failed"
+	RequestLeft     = "caller left"
+	AttemptFailed   = "attempt failed"
+	ModelEscalated  = "model escalated"
+	StreamResumed   = "stream resumed"
+	UpstreamEjected = "upstream ejected"
+	UpstreamBack    = "upstream back"
+
+	RolloutStarted = "rollout started"
+	RolloutShare   = "rollout share"
+	RolloutVerdict = "rollout verdict"
+	RolloutWritten = "rollout state written"
+	MembersChanged = "members changed"
+	LinesDropped   = "log lines dropped"
+)
--- /dev/null
+++ b/pkg/knowledge/knowledge.go
@@ -0,0 +1,346 @@
+// Package knowledge keeps a node's view of the configuration, the upstreams,
+// the evacuated failure domains and the version changes. Each kind is listed
+// once and then watched; the view never goes back within one run of a process.
+package knowledge
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// ServiceName is the name under which a node registers its Service.
+const ServiceName = "fleet.knowledge"
+
+// Kind is a kind of object in the store.
+type Kind int
+
+// The kinds that a node reads or writes.
+const (
+	Configurations Kind = iota
+	Upstreams
+	Rollouts
+	Evacuations
+	Nodes
+)
+
+// String names the kind in logs and metrics.
+func (k Kind) String() string {
+	return [...]string{"configurations", "upstreams", "rollouts", "evacuations", "nodes"}[k]
+}
+
+// Object is one object of the store.
+type Object struct {
+	Name string
+	// Revision is that of the last change, Created that of the first.
+	Revision, Created topology.Revision
+	// Deleting objects wait for somebody to release them.
+	Deleting     bool
+	Spec, Status json.RawMessage
+}
+
+// Change is one event of a watch.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// ErrHistoryLost is returned by a watch whose start is no longer kept.
+var ErrHistoryLost = errors.New("the store no longer keeps the changes asked for")
+
+// Store reads the platform's objects. Reads are linearizable.
+type Store interface {
+	// List returns all objects of a kind and the revision to watch from.
+	List(ctx context.Context, kind Kind) ([]Object, topology.Revision, error)
+	// Watch returns the changes after a revision, as soon as there is one or
+	// when wait has passed, and the revision to go on from.
+	Watch(ctx context.Context, kind Kind, after topology.Revision, wait time.Duration) ([]Change, topology.Revision, error)
+}
+
+// Decoder translates objects. An error names a bad object; the others hold.
+type Decoder interface {
+	Config(o Object) (c *topology.Config, ok bool, err error)
+	Upstream(o Object) (*topology.Upstream, error)
+	Rollout(o Object) (*topology.Rollout, error)
+}
+
+const (
+	// watchWait is how long the store may hold a watch. A longer wait saves
+	// calls; keep-alive probes find silent connections sooner.
+	watchWait = 15 * time.Second
+	// retryMin and retryMax bound the pause after a failed call; the pause
+	// doubles and is spread over half of its length.
+	retryMin = 100 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+	// coalesce is the shortest time between two watches of one kind, so that a
+	// series of changes does not cost one call each at every node.
+	coalesce = 50 * time.Millisecond
+)
+
+// Options are the settings of a Service.
+type Options struct {
+	Store   Store
+	Decoder Decoder
+	Tracker TrackerOptions
+}
+
+// Service reads the store and publishes views. It is registered as
+// ServiceName.
+type Service struct {
+	kernel.Base
+	opts  Options
+	clock clock.Clock
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	tracker *Tracker
+	changed chan struct{}
+	view    atomic.Pointer[topology.View]
+	// contact is the Unix nanosecond of the latest answer by kind.
+	contact [Nodes]atomic.Int64
+}
+
+// New returns a service without knowledge.
+func New(o Options) *Service {
+	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker)}
+	s.view.Store(&topology.View{})
+	return s
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return ServiceName }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	s.clock, s.log = k.Clock, k.Log
+	return nil
+}
+
+// Run starts one duty for each kind and one that ends grace periods.
+func (s *Service) Run(t *tomb.Tomb) error {
+	ctx := t.Context(nil)
+	for kind := Configurations; kind <= Evacuations; kind++ {
+		t.Go(func() error {
+			s.follow(ctx, kind)
+			return nil
+		})
+	}
+	t.Go(func() error {
+		s.expire(ctx)
+		return nil
+	})
+	return nil
+}
+
+// View returns the latest view, which must not be changed.
+func (s *Service) View() *topology.View { return s.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Age returns the time since the store last answered for a kind; at most the
+// length of one watch while the store is well.
+func (s *Service) Age(kind Kind) time.Duration {
+	at := s.contact[kind].Load()
+	if at == 0 {
+		return -1
+	}
+	return s.clock.Since(time.Unix(0, at))
+}
+
+// Synced reports whether every kind has been read once.
+func (s *Service) Synced() bool {
+	for i := range s.contact {
+		if s.contact[i].Load() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// follow lists and watches one kind until ctx ends.
+func (s *Service) follow(ctx context.Context, kind Kind) {
+	pause := retryMin
+	var from topology.Revision
+	listed := false
+	var failedSince time.Time
+	for ctx.Err() == nil {
+		start := s.clock.Now()
+		var err error
+		if listed {
+			from, err = s.watch(ctx, kind, from)
+		} else {
+			from, err = s.list(ctx, kind)
+			listed = err == nil
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if !failedSince.IsZero() {
+				s.log.Info(eventlog.StoreRegained, "kind", kind.String(), "away_ms", s.clock.Since(failedSince).Milliseconds())
+				failedSince = time.Time{}
+			}
+			pause = retryMin
+			if rest := coalesce - s.clock.Since(start); rest > 0 {
+				_ = s.clock.Sleep(ctx, rest) // Ends early only with ctx, which the loop checks.
+			}
+			continue
+		}
+		if errors.Is(err, ErrHistoryLost) {
+			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", from)
+			listed = false
+			continue
+		}
+		if failedSince.IsZero() {
+			failedSince = start
+			s.log.Warn(eventlog.StoreLost, "kind", kind.String(), "revision", from, "error", err.Error())
+			s.update(func(now time.Time) bool { s.tracker.StoreLost(kind, now); return false })
+		}
+		_ = s.clock.Sleep(ctx, pause/2+time.Duration(rand.Int63n(int64(pause))))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+func (s *Service) list(ctx context.Context, kind Kind) (topology.Revision, error) {
+	objects, from, err := s.opts.Store.List(ctx, kind)
+	if err != nil {
+		return 0, err
+	}
+	s.contact[kind].Store(s.clock.Now().UnixNano())
+	s.update(func(now time.Time) bool {
+		s.tracker.StoreAnswered(kind, now)
+		present := make(map[string]bool, len(objects))
+		changed := false
+		for _, o := range objects {
+			present[o.Name] = true
+			changed = s.apply(kind, Change{Object: o}, now) || changed
+		}
+		return s.tracker.Retain(kind, present, now) || changed
+	})
+	return from, nil
+}
+
+func (s *Service) watch(ctx context.Context, kind Kind, from topology.Revision) (topology.Revision, error) {
+	changes, next, err := s.opts.Store.Watch(ctx, kind, from, watchWait)
+	if err != nil {
+		return from, err
+	}
+	s.contact[kind].Store(s.clock.Now().UnixNano())
+	s.update(func(now time.Time) bool {
+		s.tracker.StoreAnswered(kind, now)
+		changed := false
+		for _, c := range changes {
+			changed = s.apply(kind, c, now) || changed
+		}
+		return changed
+	})
+	return max(next, from), nil
+}
+
+// apply decodes one object and gives it to the tracker. The caller holds the
+// lock.
+func (s *Service) apply(kind Kind, c Change, now time.Time) bool {
+	var err error
+	changed := false
+	switch kind {
+	case Configurations:
+		var config *topology.Config
+		var ok bool
+		config, ok, err = s.opts.Decoder.Config(c.Object)
+		if err == nil && ok && !c.Deleted {
+			if changed = s.tracker.SetConfig(config); changed {
+				s.log.Info(eventlog.ConfigTaken, "config", config.Version, "revision", config.Revision,
+					"routes", len(config.Routes), "services", len(config.Services), "organisations", len(config.Organisations))
+			}
+		}
+	case Upstreams:
+		changed, err = s.applyUpstream(c, now)
+	case Rollouts:
+		if c.Deleted {
+			changed = s.tracker.DeleteRollout(c.Object.Name)
+			break
+		}
+		var r *topology.Rollout
+		if r, err = s.opts.Decoder.Rollout(c.Object); err == nil {
+			changed = s.tracker.SetRollout(c.Object.Name, r)
+			s.log.Info(eventlog.RolloutRead, "service", r.Service, "target", r.Target, "state", r.State.String(),
+				"revision", r.Revision, "duration_ms", r.Duration.Milliseconds())
+		}
+	case Evacuations:
+		changed = s.tracker.SetEvacuated(c.Object.Name, !c.Deleted && !c.Object.Deleting, now)
+		if changed {
+			s.log.Info(eventlog.EvacuationRead, "failure_domain", c.Object.Name, "evacuated", !c.Deleted, "revision", c.Object.Revision)
+		}
+	}
+	if err != nil {
+		s.log.Warn(eventlog.ObjectRefused, "kind", kind.String(), "object", c.Object.Name, "revision", c.Object.Revision, "error", err.Error())
+	}
+	return changed
+}
+
+func (s *Service) applyUpstream(c Change, now time.Time) (bool, error) {
+	if c.Deleted {
+		if !s.tracker.DeleteUpstream(c.Object.Name, now) {
+			return false, nil
+		}
+		s.log.Info(eventlog.UpstreamGone, "upstream", c.Object.Name, "revision", c.Object.Revision)
+		return true, nil
+	}
+	u, err := s.opts.Decoder.Upstream(c.Object)
+	if err != nil {
+		// An entry that cannot be read names no upstream to use, also when an
+		// earlier one did.
+		return s.tracker.DeleteUpstream(c.Object.Name, now), err
+	}
+	changed := s.tracker.SetUpstream(u, now)
+	if changed {
+		s.log.Info(eventlog.UpstreamRead, "upstream", u.ID, "service", u.Service, "address", u.Address,
+			"failure_domain", u.FailureDomain, "release", u.Release, "leaving", u.Leaving,
+			"cold_ms", u.ColdFor.Milliseconds(), "born", u.Born, "revision", c.Object.Revision)
+	}
+	return changed, nil
+}
+
+// update runs fn under the lock and publishes the view if fn reports a change.
+func (s *Service) update(fn func(now time.Time) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !fn(s.clock.Now()) {
+		return
+	}
+	s.view.Store(s.tracker.View())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expireInterval is the precision of grace periods.
+const expireInterval = 250 * time.Millisecond
+
+func (s *Service) expire(ctx context.Context) {
+	for s.clock.Sleep(ctx, expireInterval) == nil {
+		s.update(func(now time.Time) bool {
+			gone := s.tracker.Expire(now)
+			for _, id := range gone {
+				s.log.Info(eventlog.UpstreamGone, "upstream", id, "reason", "not back after an outage of the store")
+			}
+			return len(gone) > 0
+		})
+	}
+}
--- /dev/null
+++ b/pkg/limits/cold.go
@@ -0,0 +1,113 @@
+package limits
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+// ColdOptions bound what a cold upstream gets in one second from all nodes
+// together: its rate times Factor plus Extra.
+type ColdOptions struct {
+	Factor, Extra float64
+}
+
+// coldMargin is the part of the bound that is used, so that two nodes with
+// different views of the members stay within it together.
+const coldMargin = 0.8
+
+// Cold limits the sends of one node to upstreams in cold start. For each
+// upstream a few nodes are chosen by rendezvous hashing; each of them sends at
+// most its share of the rate, one request at a time. No messages are needed,
+// so the limit also holds for nodes that are cut off.
+type Cold struct {
+	opts ColdOptions
+	self string
+
+	mu sync.Mutex
+	// next is the earliest time of the next send by upstream.
+	next map[topology.Incarnation]time.Time
+}
+
+// NewCold returns the limit of the node with the id self.
+func NewCold(o ColdOptions, self string) *Cold {
+	return &Cold{opts: o, self: self, next: make(map[topology.Incarnation]time.Time)}
+}
+
+// Take reports whether this node may send a request to a cold upstream now,
+// and counts it. nodes are the ids of the nodes that serve callers.
+func (c *Cold) Take(u *topology.Upstream, perSecond float64, nodes []string, now time.Time) bool {
+	share := c.share(u, perSecond, nodes)
+	if share <= 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := u.Incarnation()
+	if now.Before(c.next[key]) {
+		return false
+	}
+	c.next[key] = now.Add(time.Duration(float64(time.Second) / share))
+	c.forget(now)
+	return true
+}
+
+// Ready reports whether Take would succeed.
+func (c *Cold) Ready(u *topology.Upstream, perSecond float64, nodes []string, now time.Time) bool {
+	if c.share(u, perSecond, nodes) <= 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !now.Before(c.next[u.Incarnation()])
+}
+
+// share returns the requests a second that this node may send, zero if it is
+// not among the chosen nodes.
+func (c *Cold) share(u *topology.Upstream, perSecond float64, nodes []string) float64 {
+	if perSecond <= 0 {
+		return 0
+	}
+	// Each chosen node may send one request more than its rate in a second.
+	chosen := int(coldMargin*(c.opts.Factor*perSecond+c.opts.Extra) - perSecond)
+	chosen = min(max(chosen, 1), max(len(nodes), 1))
+	rank := 0
+	own := score(u.ID, c.self)
+	for _, n := range nodes {
+		if n != c.self && score(u.ID, n) > own {
+			rank++
+		}
+	}
+	if rank >= chosen {
+		return 0
+	}
+	return perSecond / float64(chosen)
+}
+
+func score(upstream, node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(upstream)) // A hash does not fail.
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(node))
+	// FNV alone leaves the high bits of similar names alike.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// maxCold bounds the remembered upstreams.
+const maxCold = 1024
+
+func (c *Cold) forget(now time.Time) {
+	if len(c.next) < maxCold {
+		return
+	}
+	for key, at := range c.next {
+		if now.After(at) {
+			delete(c.next, key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limits/retry.go
@@ -0,0 +1,114 @@
+// Package limits keeps the limits that all nodes share, by a share for each
+// node that is safe when no node hears from another.
+package limits
+
+import (
+	"sync"
+	"time"
+
+	"cassiapin/pkg/clock"
+)
+
+// RetryOptions bound the repeated sends of all nodes together: in any window,
+// at most Ratio times the first sends plus Extra.
+type RetryOptions struct {
+	Ratio, Extra float64
+	Window       time.Duration
+}
+
+const (
+	// retryBuckets is the precision of the sliding window.
+	retryBuckets = 20
+	// retryMargin is the part of the budget that is used. The rest covers
+	// requests that were counted but reached the service in the next window.
+	retryMargin = 0.85
+	// escalationShare is the part of the usable budget that cascades may fill;
+	// the rest is left to requests that failed.
+	escalationShare = 0.8
+)
+
+// Purpose says why a request is sent once more.
+type Purpose int
+
+// The purposes of a repeated send.
+const (
+	// Recovery repeats a request that failed.
+	Recovery Purpose = iota
+	// Escalation asks a better model.
+	Escalation
+)
+
+// Retries is the retry budget of one node. A node may repeat by the ratio of
+// its own requests, and by its share of the fixed part. It serves loads of any
+// size; under a storm of impatient callers the fixed part is what is left to
+// others, because callers' own retries count as requests.
+type Retries struct {
+	opts  RetryOptions
+	clock clock.Clock
+	nodes func() int
+
+	mu       sync.Mutex
+	services map[string]*retryWindow
+}
+
+type retryWindow struct {
+	start    time.Time
+	requests [retryBuckets]float64
+	repeats  [retryBuckets]float64
+}
+
+// NewRetries returns a budget without history. nodes returns the number of
+// nodes that share the fixed part.
+func NewRetries(o RetryOptions, c clock.Clock, nodes func() int) *Retries {
+	return &Retries{opts: o, clock: c, nodes: nodes, services: make(map[string]*retryWindow)}
+}
+
+// Request counts a request for a service.
+func (r *Retries) Request(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window(service).requests[0]++
+}
+
+// Take counts a repeated send if the budget allows it.
+func (r *Retries) Take(service string, p Purpose) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	var requests, repeats float64
+	for i := range retryBuckets {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	allowed := retryMargin * (r.opts.Ratio*requests + r.opts.Extra/float64(max(r.nodes(), 1)))
+	if p == Escalation {
+		allowed *= escalationShare
+	}
+	if repeats+1 > allowed {
+		return false
+	}
+	w.repeats[0]++
+	return true
+}
+
+// window returns the service's window, moved to the present.
+func (r *Retries) window(service string) *retryWindow {
+	w := r.services[service]
+	now := r.clock.Now()
+	if w == nil {
+		w = &retryWindow{start: now}
+		r.services[service] = w
+	}
+	width := r.opts.Window / retryBuckets
+	steps := int(now.Sub(w.start) / width)
+	if steps <= 0 {
+		return w
+	}
+	w.start = w.start.Add(time.Duration(steps) * width)
+	steps = min(steps, retryBuckets)
+	copy(w.requests[steps:], w.requests[:retryBuckets-steps])
+	copy(w.repeats[steps:], w.repeats[:retryBuckets-steps])
+	clear(w.requests[:steps])
+	clear(w.repeats[:steps])
+	return w
+}
--- a/pkg/node/rates.go
+++ b/pkg/node/rates.go
@@ -7,8 +7,8 @@
 
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 )
 
 // ratesName is the name of the service that shares the platform's rate.
--- a/pkg/peer/keys/keys.go
+++ b/pkg/peer/keys/keys.go
@@ -6,6 +6,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -166,3 +167,21 @@
 	}
 	return errors.Wrap(os.Rename(tmp, path), "replace a key file")
 }
+
+// MakeEphemeral returns a self-signed key pair that is kept in memory only.
+func MakeEphemeral(now time.Time) (tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "generate the node's key")
+	}
+	tmpl, err := template("cassiapin node", now, nodeValidity)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	tmpl.DNSNames = []string{ServerName}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "sign the node's certificate")
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, nil
+}
--- a/pkg/peer/tls.go
+++ b/pkg/peer/tls.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"os"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,46 @@
 	CA, Cert, Key string
 }
 
+// Ephemeral makes a transport use a key pair of its own that lives as long as
+// the process, on hosts that hold no key files.
+type Ephemeral struct {
+	// Trusts reports whether a node with the fingerprint of its certificate
+	// belongs to the fleet. It must not block for longer than a handshake may
+	// take.
+	Trusts func(fingerprint string) bool
+	// Certificate is the pair to use.
+	Certificate tls.Certificate
+}
+
+// Fingerprint identifies a certificate.
+func Fingerprint(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
+
+// verify checks the certificate of the other node.
+func (e *Ephemeral) verify(raw [][]byte, _ [][]*x509.Certificate) error {
+	if len(raw) == 0 || !e.Trusts(Fingerprint(raw[0])) {
+		return errors.New("the node's certificate is not one of this fleet")
+	}
+	return nil
+}
+
+// config returns the TLS configuration of both sides. The certificate is
+// checked by its fingerprint, because no authority signs it.
+func (e *Ephemeral) config() *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{e.Certificate},
+		NextProtos:             []string{protocolName},
+		ServerName:             keys.ServerName,
+		InsecureSkipVerify:     true, // verify replaces the check against an authority.
+		ClientAuth:             tls.RequireAnyClientCert,
+		VerifyPeerCertificate:  e.verify,
+		SessionTicketsDisabled: true,
+	}
+}
+
 // fileStamp detects that a file has changed.
 type fileStamp struct {
 	modified time.Time
@@ -35,8 +77,9 @@
 
 // keyStore gives TLS configurations from the latest valid key files.
 type keyStore struct {
-	files   KeyFiles
-	current atomic.Pointer[keyPair]
+	files     KeyFiles
+	ephemeral *Ephemeral
+	current   atomic.Pointer[keyPair]
 }
 
 func (f KeyFiles) stamps() (s [3]fileStamp, err error) {
@@ -53,6 +96,9 @@
 // reload reads the files if they have changed. After an error the previous
 // pair stays in use and the next call tries again.
 func (k *keyStore) reload() (changed bool, err error) {
+	if k.ephemeral != nil {
+		return false, nil
+	}
 	stamps, err := k.files.stamps()
 	if err != nil {
 		return false, err
@@ -78,6 +124,9 @@
 
 // client returns the TLS configuration of an outgoing connection.
 func (k *keyStore) client() *tls.Config {
+	if k.ephemeral != nil {
+		return k.ephemeral.config()
+	}
 	p := k.current.Load()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -92,6 +141,9 @@
 // off, so that every connection proves its certificate against the present
 // authority.
 func (k *keyStore) server() *tls.Config {
+	if k.ephemeral != nil {
+		return k.ephemeral.config()
+	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{protocolName},
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -63,6 +63,8 @@
 	// Conn is an open socket to use instead of Listen; the service closes it.
 	Conn net.PacketConn
 	Keys KeyFiles
+	// Ephemeral replaces Keys on hosts without key files.
+	Ephemeral *Ephemeral
 	// ProbeInterval and IdleTimeout default to the constants of this package.
 	ProbeInterval time.Duration
 	IdleTimeout   time.Duration
@@ -115,7 +117,7 @@
 	}
 	t := &Transport{
 		opts:  o,
-		keys:  keyStore{files: o.Keys},
+		keys:  keyStore{files: o.Keys, ephemeral: o.Ephemeral},
 		links: make(map[NodeID]*link),
 		conns: make(map[*connection]struct{}),
 	}
--- a/pkg/publish/publish.go
+++ b/pkg/publish/publish.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/platform"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/result"
 )
 
@@ -37,7 +37,7 @@
 // Publish writes the declarations as the configuration after the present one.
 // When another operator publishes at the same time, exactly one succeeds; the
 // other gets result.PublishConflict and nothing of its own is written.
-func Publish(ctx context.Context, store platform.Store, d config.Declarations, o Options) (Stored, error) {
+func Publish(ctx context.Context, store objectstore.Store, d config.Declarations, o Options) (Stored, error) {
 	current, object, err := Read(ctx, store)
 	if err != nil {
 		return Stored{}, err
@@ -73,7 +73,7 @@
 
 // Read returns the stored configuration and its object, nil when there is
 // none yet.
-func Read(ctx context.Context, store platform.Store) (Stored, *platform.Object, error) {
+func Read(ctx context.Context, store objectstore.Store) (Stored, *objectstore.Object, error) {
 	object, err := store.Get(ctx, Key)
 	if result.CodeOf(err) == result.ObjectNotFound {
 		return Stored{}, nil, nil
--- a/pkg/publish/publish_test.go
+++ b/pkg/publish/publish_test.go
@@ -9,7 +9,7 @@
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/platform/memstore"
+	"cassiapin/pkg/objectstore/memstore"
 	"cassiapin/pkg/result"
 )
 
--- a/pkg/quality/estimator.go
+++ b/pkg/quality/estimator.go
@@ -14,8 +14,8 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
 	"cassiapin/pkg/result"
 )
 
@@ -182,12 +182,12 @@
 		messenger peer.Messenger
 		members   peer.Members
 		leases    lease.Manager
-		store     platform.Store
+		store     objectstore.Store
 	)
 	kernel.Want(f, peer.TransportServiceName, &messenger)
 	kernel.Want(f, peer.MembershipServiceName, &members)
 	kernel.Want(f, lease.ServiceName, &leases)
-	kernel.Want(f, platform.ServiceName, &store)
+	kernel.Want(f, objectstore.ServiceName, &store)
 	if messenger != nil {
 		s.sharing = newSharing(s, messenger, members, leases, store)
 		s.sharing.log = k.Log
--- a/pkg/quality/estimator_test.go
+++ b/pkg/quality/estimator_test.go
@@ -21,8 +21,8 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
 	"cassiapin/pkg/result"
 )
 
@@ -144,30 +144,30 @@
 
 type fakeStore struct {
 	kernel.Base
-	platform.Store
-	object platform.Object
+	objectstore.Store
+	object objectstore.Object
 	writes int
 }
 
-func (*fakeStore) Name() string { return platform.ServiceName }
+func (*fakeStore) Name() string { return objectstore.ServiceName }
 
-func (f *fakeStore) Get(_ context.Context, _ string) (platform.Object, error) {
+func (f *fakeStore) Get(_ context.Context, _ string) (objectstore.Object, error) {
 	if f.object.Version == 0 {
 		return f.object, result.New(result.ObjectNotFound, "none")
 	}
 	return f.object, nil
 }
 
-func (f *fakeStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (f *fakeStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return f.Update(ctx, key, value, 0)
 }
 
-func (f *fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (platform.Object, error) {
+func (f *fakeStore) Update(_ context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
 	if version != f.object.Version {
 		return f.object, result.New(result.ObjectConflict, "version")
 	}
 	f.writes++
-	f.object = platform.Object{Key: key, Value: value, Version: version + 1}
+	f.object = objectstore.Object{Key: key, Value: value, Version: version + 1}
 	return f.object, nil
 }
 
--- a/pkg/quality/sharing.go
+++ b/pkg/quality/sharing.go
@@ -10,8 +10,8 @@
 	"gopkg.in/tomb.v2"
 
 	"cassiapin/pkg/lease"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/peer"
-	"cassiapin/pkg/platform"
 	"cassiapin/pkg/result"
 )
 
@@ -45,7 +45,7 @@
 	messenger peer.Messenger
 	members   peer.Members
 	leases    lease.Manager
-	store     platform.Store
+	store     objectstore.Store
 	log       *slog.Logger
 	wake      chan struct{}
 
@@ -80,7 +80,7 @@
 	objectVersion uint64
 }
 
-func newSharing(s *Service, m peer.Messenger, members peer.Members, leases lease.Manager, store platform.Store) *sharing {
+func newSharing(s *Service, m peer.Messenger, members peer.Members, leases lease.Manager, store objectstore.Store) *sharing {
 	h := &sharing{
 		service: s, messenger: m, members: members, leases: leases, store: store,
 		wake: make(chan struct{}, 1), pending: make(map[key]cell), taken: make(map[peer.NodeID]uint64),
@@ -324,7 +324,7 @@
 	h.objectVersion, h.unsaved = object.Version, false
 }
 
-func (h *sharing) write(ctx context.Context, value []byte, version uint64) (platform.Object, error) {
+func (h *sharing) write(ctx context.Context, value []byte, version uint64) (objectstore.Object, error) {
 	if version == 0 {
 		return h.store.Create(ctx, h.leaseName(), value)
 	}
--- /dev/null
+++ b/pkg/relay/attempt.go
@@ -0,0 +1,297 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/limits"
+	"cassiapin/pkg/placement"
+	"cassiapin/pkg/result"
+	"cassiapin/pkg/topology"
+)
+
+const (
+	// holdShare is the part of the latency objective for which a request waits
+	// for an upstream before it is refused.
+	holdShare = 8
+	// holdPoll is the longest time between two looks for an upstream.
+	holdPoll = 20 * time.Millisecond
+	// minRemaining is the least time that is worth a send.
+	minRemaining = 10 * time.Millisecond
+	// refusedRetry is the pause that refused callers are asked for, as a part
+	// of their patience: callers come back once, so the pause should be long
+	// enough for an upstream to return, and they honour up to a third.
+	refusedRetry = 4
+)
+
+// errNoUpstream is returned when no upstream may get the request now.
+var errNoUpstream = errors.New("no upstream may get the request now")
+
+// attempt is one send that is under way.
+type attempt struct {
+	upstream *topology.Upstream
+	answer   *Answer
+	started  time.Time
+	cancel   context.CancelFunc
+	flow     *flow
+	// released tells the cutover that the request has left the release.
+	released func()
+	closed   bool
+}
+
+// close ends the attempt; the upstream drops a request that still runs.
+func (a *attempt) close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.cancel()
+	if a.answer != nil {
+		_ = a.answer.Body.Close() // The connection is dropped or reused; nothing is lost.
+	}
+	a.released()
+	a.flow.service.opts.Table.Closed(a.upstream, a.flow.service.clock.Now())
+}
+
+// acquire chooses an upstream, waiting a little for one.
+func (f *flow) acquire(ctx context.Context, model string) (*topology.Upstream, error) {
+	s := f.service
+	until := f.request.Received.Add(f.route.TargetLatency / holdShare)
+	for {
+		changed := s.opts.Knowledge.Changed()
+		if u := f.choose(model); u != nil {
+			return u, nil
+		}
+		now := s.clock.Now()
+		if !now.Before(until) || !now.Before(f.deadline) {
+			return nil, errNoUpstream
+		}
+		select {
+		case <-changed:
+		case <-s.clock.After(min(holdPoll, until.Sub(now))):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// choose returns an upstream that may get the request now, or nil. It is the
+// only place that decides where a request may go, and it is evaluated
+// immediately before each send.
+func (f *flow) choose(model string) *topology.Upstream {
+	s := f.service
+	f.view = s.opts.Knowledge.View()
+	now := s.clock.Now()
+	assignment := s.opts.Cutover.Assign(f.target, f.request.Session, now)
+	for {
+		u := f.chooseAmong(model, now, assignment.Permits)
+		if u != nil || !assignment.HasFallback() {
+			return u
+		}
+		assignment = assignment.Fallback()
+	}
+}
+
+func (f *flow) chooseAmong(model string, now time.Time, permits func(release string) bool) *topology.Upstream {
+	s := f.service
+	nodes := s.opts.Fleet.Nodes()
+	service := f.view.Config.Services[f.target]
+	request := placement.Request{
+		Upstreams:     f.view.Upstreams[f.target],
+		Affinity:      f.affinity(model),
+		FailureDomain: s.opts.FailureDomain,
+		Region:        s.opts.Region,
+		Tried:         f.tried,
+		Now:           now,
+		Usable: func(u *topology.Upstream, coldUntil time.Time) bool {
+			if u.Leaving || f.view.Evacuated[u.FailureDomain] || !permits(u.Release) || !f.inRegions(u.Region) {
+				return false
+			}
+			return !f.cold(u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now)
+		},
+	}
+	for {
+		choice, ok := s.opts.Table.Choose(request, rand.Float64())
+		if !ok {
+			return nil
+		}
+		u := choice.Upstream
+		if f.cold(u, s.opts.Table.ColdUntil(u), now) && !s.opts.Cold.Take(u, service.ColdPerSecond, nodes, now) {
+			continue // Another request took the place since Ready; it is no longer usable.
+		}
+		return u
+	}
+}
+
+// cold reports whether an upstream counts as in cold start.
+func (f *flow) cold(u *topology.Upstream, until, now time.Time) bool {
+	service := f.view.Config.Services[f.target]
+	if service == nil || service.ColdPerSecond <= 0 {
+		return false
+	}
+	return now.Before(until) || now.Before(f.view.ColdUntil[u.FailureDomain])
+}
+
+func (f *flow) inRegions(region string) bool {
+	if !allows(f.route.Regions, region) {
+		return false
+	}
+	return f.organisation == nil || allows(f.organisation.Regions, region)
+}
+
+func allows(regions []string, region string) bool {
+	for _, r := range regions {
+		if r == region {
+			return true
+		}
+	}
+	return len(regions) == 0
+}
+
+// affinity is the key of the longest part of the prompt that other requests
+// share; the last part is the request's own. Engines keep parts by model.
+func (f *flow) affinity(model string) string {
+	parts := f.request.Prefix
+	if len(parts) < 2 {
+		return ""
+	}
+	return model + "/" + parts[len(parts)-2].ID
+}
+
+// send makes one attempt. The error is a *SendError, or the context's.
+func (f *flow) send(ctx context.Context, u *topology.Upstream, model string, after int64) (*attempt, error) {
+	s := f.service
+	now := s.clock.Now()
+	remaining := f.deadline.Sub(now)
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{upstream: u, started: now, cancel: cancel, flow: f, released: s.opts.Cutover.Opened(f.target, u.Release)}
+	f.tried[u.Incarnation()] = true
+	f.last = u
+	s.opts.Table.Opened(u, now)
+	answer, err := s.opts.Exchange.Send(ctx, &Send{
+		Request: f.request, Upstream: u, Organisation: f.organisationName(), Model: model,
+		Remaining: remaining, After: after, Urgency: f.urgency(),
+	})
+	now = s.clock.Now()
+	if err != nil {
+		a.close()
+		var failed *SendError
+		if errors.As(err, &failed) && failed.Reached {
+			f.sends++
+			f.ran = true
+		}
+		return a, err
+	}
+	f.sends++
+	a.answer = answer
+	f.observe(a, now)
+	return a, nil
+}
+
+// observe takes what the head of an answer says about the upstream.
+func (f *flow) observe(a *attempt, now time.Time) {
+	table := f.service.opts.Table
+	table.Heard(a.upstream, now)
+	if a.answer.Load != nil {
+		table.Reported(a.upstream, *a.answer.Load, now)
+	}
+	if a.answer.ColdFor > 0 {
+		table.Cold(a.upstream, now.Add(a.answer.ColdFor), now)
+	}
+	if !a.answer.NotRun && !a.answer.WrongInstance {
+		f.ran = true
+	}
+}
+
+// judged tells the cutover what became of an answer of the application.
+func (f *flow) judged(a *attempt, good bool) {
+	s := f.service
+	s.opts.Cutover.Answered(f.target, a.upstream.Release, f.route.Name+"/"+f.model, good, s.clock.Since(a.started))
+}
+
+// failure says why an attempt did not serve the request.
+type failure struct {
+	code   result.Code
+	reason string
+	// notRun is certain: the upstream did not run the request and will not.
+	notRun bool
+	// unreachable upstreams are left out for a while.
+	unreachable bool
+}
+
+// sendFailure classifies an attempt without an answer.
+func sendFailure(err error, patienceOver bool) failure {
+	var failed *SendError
+	reached := errors.As(err, &failed) && failed.Reached
+	switch {
+	case !reached:
+		return failure{code: result.ConnectFailed, reason: err.Error(), notRun: true, unreachable: true}
+	case patienceOver:
+		return failure{code: result.UpstreamSilent, reason: "no answer in time", unreachable: true}
+	}
+	return failure{code: result.StreamCut, reason: err.Error(), unreachable: true}
+}
+
+// headFailure classifies the head of an answer; ok is true for answers that
+// the application gave to this request, whatever their status.
+func headFailure(a *Answer) (f failure, ok bool) {
+	switch {
+	case a.WrongInstance:
+		return failure{code: result.UpstreamRefused, reason: "another upstream has the address", notRun: true, unreachable: true}, false
+	case !a.Matches:
+		return failure{code: result.AnswerMismatch, reason: "the answer belongs to another request"}, false
+	case a.NotRun:
+		return failure{code: result.UpstreamRefused, reason: "the upstream did not run the request", notRun: true}, false
+	case !a.Signed || a.Encoded:
+		return failure{code: result.UpstreamError, reason: "the answer is not the application's"}, false
+	}
+	return failure{}, true
+}
+
+// failed records a failed attempt.
+func (f *flow) attemptFailed(u *topology.Upstream, fail failure) {
+	s := f.service
+	now := s.clock.Now()
+	pause := s.opts.Table.Failed(u, fail.unreachable, now)
+	s.log.Warn(eventlog.AttemptFailed, f.attrs("upstream", u.ID, "release", u.Release, "failure_domain", u.FailureDomain,
+		"code", int(fail.code), "reason", fail.reason, "not_run", fail.notRun, "sends", f.sends, "model", f.model,
+		"delivered", f.delivered, "paused_ms", pause.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
+}
+
+// mayRepeat reports whether one more upstream may get the request, and draws
+// on the retry budget. Attempts that never reached an upstream are free.
+func (f *flow) mayRepeat(ctx context.Context, purpose limits.Purpose) bool {
+	s := f.service
+	if ctx.Err() != nil || f.deadline.Sub(s.clock.Now()) < minRemaining {
+		return false
+	}
+	if f.sends == 0 {
+		return true
+	}
+	return f.sends < f.route.MaxUpstreams && s.opts.Retries.Take(f.target, purpose)
+}
+
+// giveUp ends a request that got no answer, as truthfully as is known.
+func (f *flow) giveUp(ctx context.Context, fail failure) {
+	now := f.service.clock.Now()
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		f.gone()
+	case !f.ran:
+		f.refuse(result.NoRunner, f.retryAfter(now), fail.reason)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !now.Before(f.deadline):
+		f.fail(result.UpstreamTimeout, fail.reason)
+	default:
+		f.fail(result.OutcomeUnknown, fail.reason)
+	}
+}
+
+// retryAfter is when a refused caller should come back.
+func (f *flow) retryAfter(now time.Time) time.Duration {
+	left := f.deadline.Sub(now)
+	return max(left/refusedRetry, 0)
+}
--- /dev/null
+++ b/pkg/relay/events.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errPartialEvent ends a stream whose last event is incomplete.
+var errPartialEvent = errors.New("the stream ends within an event")
+
+// eventReader splits an event stream into whole events.
+type eventReader struct {
+	r *bufio.Reader
+}
+
+// eventBuffer holds the usual event of a few hundred bytes; longer ones grow a
+// buffer of their own.
+const eventBuffer = 2 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the bytes of the next event, with the blank line that ends it,
+// and its id, or -1 if it has none. It returns io.EOF only between events.
+func (e *eventReader) next() (raw []byte, id int64, err error) {
+	id = -1
+	for {
+		line, err := e.r.ReadSlice('\n')
+		raw = append(raw, line...)
+		if len(raw) > maxEventBytes {
+			return nil, -1, errors.Newf("an event exceeds %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(raw)) > 0 {
+				return nil, -1, errPartialEvent
+			}
+			return nil, -1, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			if len(bytes.TrimSpace(raw)) == 0 {
+				raw = raw[:0] // A blank line between events.
+				continue
+			}
+			return raw, id, nil
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return nil, -1, errors.Wrap(err, "the id of an event")
+			}
+			id = n
+		}
+	}
+}
--- /dev/null
+++ b/pkg/relay/service.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/cutover"
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/limits"
+	"cassiapin/pkg/placement"
+	"cassiapin/pkg/result"
+	"cassiapin/pkg/topology"
+)
+
+// ServiceName is the name under which a node registers its Service.
+const ServiceName = "request.relay"
+
+// Knowledge gives the node's view.
+type Knowledge interface {
+	View() *topology.View
+	Changed() <-chan struct{}
+}
+
+// Fleet tells which nodes serve callers.
+type Fleet interface {
+	// Nodes returns the ids of the nodes that serve callers, this one
+	// included.
+	Nodes() []string
+}
+
+// Options are the settings of a Service.
+type Options struct {
+	FailureDomain, Region string
+	Exchange              Exchange
+	Knowledge             Knowledge
+	Fleet                 Fleet
+	Retries               *limits.Retries
+	Cold                  *limits.Cold
+	Table                 *placement.Table
+	Cutover               *cutover.Service
+	// ColdGrace is how long an upstream whose entry is missing the news of a
+	// cold start may go without it.
+	ColdGrace time.Duration
+}
+
+// Service serves requests. It is registered as ServiceName.
+type Service struct {
+	kernel.Base
+	opts  Options
+	clock clock.Clock
+	log   *slog.Logger
+	open  atomic.Int64
+
+	refused, failed, left *metrics.Counter
+}
+
+// New returns a service.
+func New(o Options) *Service {
+	return &Service{
+		opts:    o,
+		refused: metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="refused"}`),
+		failed:  metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="failed"}`),
+		left:    metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="caller_left"}`),
+	}
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return ServiceName }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	s.clock, s.log = k.Clock, k.Log
+	metrics.GetOrCreateGauge("cassiapin_requests_open", func() float64 { return float64(s.Open()) })
+	return nil
+}
+
+// Open returns the number of requests without a final answer.
+func (s *Service) Open() int { return int(s.open.Load()) }
+
+// Serve takes a request to its final answer. ctx ends when the caller leaves.
+func (s *Service) Serve(ctx context.Context, r *Request, out Responder) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	f := &flow{service: s, request: r, out: out, tried: make(map[topology.Incarnation]bool)}
+	if !f.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel()
+	if f.route.Streams() {
+		f.stream(ctx)
+	} else {
+		f.plain(ctx)
+	}
+}
+
+// flow is the state of one request.
+type flow struct {
+	service *Service
+	request *Request
+	out     Responder
+
+	view         *topology.View
+	route        *topology.Route
+	organisation *topology.Organisation
+	target       string // The service that the route's split chose.
+	deadline     time.Time
+	// sends counts the attempts that reached an upstream, and ran tells that
+	// one of them may have run the request.
+	sends int
+	ran   bool
+	tried map[topology.Incarnation]bool
+	last  *topology.Upstream
+	model string
+	// delivered is the last event that the caller has.
+	delivered int64
+	begun     bool
+	firstByte time.Duration
+}
+
+// noDeadline is assumed for callers that state no deadline on routes without a
+// time-out.
+const noDeadline = time.Minute
+
+// admit finds route, organisation and deadline. It answers requests that the
+// configuration does not allow.
+func (f *flow) admit() bool {
+	f.view = f.service.opts.Knowledge.View()
+	config := f.view.Config
+	if config == nil {
+		f.refuse(result.NoConfiguration, unconfiguredRetry, "no configuration has been read yet")
+		return false
+	}
+	r := f.request
+	if f.route = config.Route(r.Host, r.Path); f.route == nil {
+		f.refuse(result.NotFound, 0, "no route for this host and path")
+		return false
+	}
+	if config.Authenticated() && !f.route.Public {
+		if f.organisation = config.Organisation(r.Key); f.organisation == nil {
+			f.refuse(result.Unauthenticated, 0, "unknown API key")
+			return false
+		}
+	}
+	patience := r.Patience
+	if patience <= 0 {
+		patience = noDeadline
+	}
+	if f.route.Timeout > 0 {
+		patience = min(patience, f.route.Timeout)
+	}
+	f.deadline = r.Received.Add(patience)
+	f.target = pick(f.route.Targets, rand.Float64())
+	f.delivered = r.LastEvent
+	f.service.opts.Retries.Request(f.target)
+	return true
+}
+
+// unconfiguredRetry is the pause that a node without a configuration asks for;
+// the first read takes some tens of milliseconds.
+const unconfiguredRetry = 300 * time.Millisecond
+
+// pick chooses a service by the weights.
+func pick(targets []topology.WeightedService, random float64) string {
+	total := 0.0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	random *= total
+	for _, t := range targets {
+		if random -= t.Weight; random < 0 {
+			return t.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+// urgency is the rank of the request; 0 is the most urgent.
+func (f *flow) urgency() int {
+	if f.organisation != nil && f.organisation.HasPriority {
+		return f.organisation.Priority
+	}
+	return f.route.Priority
+}
+
+func (f *flow) organisationName() string {
+	if f.organisation == nil {
+		return ""
+	}
+	return f.organisation.Name
+}
+
+// attrs are the fields that every line about the request has.
+func (f *flow) attrs(more ...any) []any {
+	attrs := []any{"request", f.request.ID}
+	if f.view.Config != nil {
+		attrs = append(attrs, "config", f.view.Config.Version)
+	}
+	if f.route != nil {
+		attrs = append(attrs, "route", f.route.Name, "kind", f.route.Kind.String(), "organisation", f.organisationName())
+	}
+	return append(attrs, more...)
+}
+
+func (f *flow) elapsed() time.Duration { return f.service.clock.Since(f.request.Received) }
+
+// refuse answers that the request has not run and will not.
+func (f *flow) refuse(code result.Code, retryAfter time.Duration, reason string) {
+	f.service.refused.Inc()
+	f.service.log.Warn(eventlog.RequestRefused, f.attrs("code", int(code), "reason", reason,
+		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)...)
+	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, RetryAfter: retryAfter, Reason: reason})
+}
+
+// fail answers that the request may have run and has no answer.
+func (f *flow) fail(code result.Code, reason string) {
+	f.service.failed.Inc()
+	f.service.log.Error(eventlog.RequestFailed, f.attrs("code", int(code), "reason", reason,
+		"elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends, "upstream", f.lastID(), "delivered", f.delivered)...)
+	if f.begun {
+		f.out.Abort()
+		return
+	}
+	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, Reason: reason})
+}
+
+// gone ends a request whose caller has left.
+func (f *flow) gone() {
+	f.service.left.Inc()
+	f.service.log.Info(eventlog.RequestLeft, f.attrs("elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
+		"upstream", f.lastID(), "delivered", f.delivered)...)
+	f.out.Abort()
+}
+
+func (f *flow) done(status int) {
+	metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="answered"}`).Inc()
+	kind := f.route.Kind.String()
+	metrics.GetOrCreateHistogram(`cassiapin_request_duration_seconds{kind="` + kind + `"}`).Update(f.elapsed().Seconds())
+	metrics.GetOrCreateHistogram(`cassiapin_first_byte_seconds{kind="` + kind + `"}`).Update(f.firstByte.Seconds())
+	f.service.log.Info(eventlog.RequestDone, f.attrs("status", status, "sends", f.sends, "upstream", f.lastID(),
+		"model", f.model, "first_ms", f.firstByte.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
+}
+
+func (f *flow) lastID() string {
+	if f.last == nil {
+		return ""
+	}
+	return f.last.ID
+}
--- /dev/null
+++ b/pkg/relay/stream.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/cascade"
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/limits"
+	"cassiapin/pkg/result"
+	"cassiapin/pkg/topology"
+)
+
+const (
+	// silentUpstream is how long an upstream may send nothing to any of this
+	// node's requests before a stream that waits for it goes on elsewhere.
+	silentUpstream = 1200 * time.Millisecond
+	// streamPatience is how many times the longest allowed pause a stream
+	// waits for an upstream that answers others.
+	streamPatience = 2
+	// readAllowance is added to both for each token of the prompt before the
+	// first event: the largest model reads some 18 tokens in a millisecond on
+	// its own and less beside other requests.
+	readAllowance = 150 * time.Microsecond
+	// patiencePoll is the precision of all.
+	patiencePoll = 100 * time.Millisecond
+)
+
+// streamEnd says how one attempt at a stream ended.
+type streamEnd int
+
+const (
+	streamComplete streamEnd = iota
+	streamFailed
+	streamEscalated
+	callerLost
+)
+
+// stream serves a request that is answered by events. Each event is passed on
+// when it is whole. If the stream may be resumed, it goes on at another
+// upstream within the same answer.
+func (f *flow) stream(ctx context.Context) {
+	ladder := cascade.New(f.route.Models, f.request.Cascade)
+	for {
+		f.model = ladder.Model()
+		u, err := f.acquire(ctx, f.model)
+		if err != nil {
+			f.giveUp(ctx, failure{code: result.NoRunner, reason: err.Error()})
+			return
+		}
+		end, fail := f.streamAttempt(ctx, u, ladder)
+		switch end {
+		case streamComplete:
+			f.out.End()
+			f.done(200)
+			return
+		case callerLost:
+			f.gone()
+			return
+		case streamEscalated:
+			continue
+		}
+		f.attemptFailed(u, fail)
+		if !(f.route.Repeats() || fail.notRun) || !f.mayRepeat(ctx, limits.Recovery) {
+			f.giveUp(ctx, fail)
+			return
+		}
+		if f.begun {
+			f.service.log.Info(eventlog.StreamResumed, f.attrs("after", f.delivered, "from", u.ID)...)
+		}
+	}
+}
+
+// streamAttempt runs the stream at one upstream from the first event that the
+// caller does not have.
+func (f *flow) streamAttempt(ctx context.Context, u *topology.Upstream, ladder *cascade.Ladder) (streamEnd, failure) {
+	s := f.service
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := f.watchSilence(ctx, cancel, u)
+	defer watch.stop()
+	a, err := f.send(ctx, u, f.model, f.delivered)
+	defer a.close()
+	if err != nil {
+		return streamFailed, sendFailure(err, watch.fired())
+	}
+	if fail, ok := headFailure(a.answer); !ok {
+		return streamFailed, fail
+	}
+	f.judged(a, a.answer.Successful())
+	if !a.answer.Successful() {
+		return f.streamRefused(ctx, a)
+	}
+	if !f.begun && ladder.ShouldEscalate(a.answer.Confidence) && f.mayRepeat(ctx, limits.Escalation) {
+		s.log.Info(eventlog.ModelEscalated, f.attrs("upstream", u.ID, "model", f.model,
+			"confidence", a.answer.Confidence, "elapsed_ms", f.elapsed().Milliseconds())...)
+		ladder.Escalate()
+		s.opts.Table.Succeeded(u, s.clock.Now())
+		delete(f.tried, u.Incarnation()) // The upstream is well; a better model may run there.
+		return streamEscalated, failure{}
+	}
+	events := newEventReader(a.answer.Body)
+	for {
+		raw, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			s.opts.Table.Succeeded(u, s.clock.Now())
+			f.begin(a.answer)
+			return streamComplete, failure{}
+		}
+		if err != nil {
+			return streamFailed, failure{code: result.StreamCut, reason: err.Error(), unreachable: watch.fired()}
+		}
+		watch.heard()
+		if id >= 0 && id <= f.delivered && f.delivered > 0 {
+			continue // The upstream repeats events that the caller has.
+		}
+		if id >= 0 && f.delivered > 0 && id != f.delivered+1 {
+			return streamFailed, failure{code: result.StreamCut, reason: "the upstream left out an event"}
+		}
+		f.begin(a.answer)
+		if err := f.out.Events(raw); err != nil {
+			return callerLost, failure{}
+		}
+		if id >= 0 {
+			f.delivered = id
+		}
+	}
+}
+
+// begin sends the head of the first answer once.
+func (f *flow) begin(a *Answer) {
+	if f.begun {
+		return
+	}
+	f.begun = true
+	f.firstByte = f.elapsed()
+	f.out.Begin(a)
+}
+
+// streamRefused handles an answer of the application that reports a failure.
+// It is passed on when the request cannot be repeated.
+func (f *flow) streamRefused(ctx context.Context, a *attempt) (streamEnd, failure) {
+	fail := failure{code: result.UpstreamError, reason: "the application reports a failure"}
+	if f.begun || f.route.Repeats() && f.sends < f.route.MaxUpstreams {
+		return streamFailed, fail
+	}
+	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
+	if err != nil || ctx.Err() != nil {
+		return streamFailed, fail
+	}
+	f.attemptFailed(a.upstream, fail)
+	f.begun = true
+	f.out.Begin(a.answer)
+	if err := f.out.Events(body); err != nil {
+		return callerLost, failure{}
+	}
+	return streamComplete, failure{}
+}
+
+// silence cancels an attempt whose upstream has gone silent.
+type silence struct {
+	flow     *flow
+	upstream *topology.Upstream
+	last     time.Time
+	heardCh  chan struct{}
+	done     chan struct{}
+	hit      chan struct{}
+}
+
+// watchSilence starts the watch of an attempt.
+func (f *flow) watchSilence(ctx context.Context, cancel context.CancelFunc, u *topology.Upstream) *silence {
+	w := &silence{
+		flow: f, upstream: u, heardCh: make(chan struct{}, 1), done: make(chan struct{}), hit: make(chan struct{}),
+		last: f.service.clock.Now(),
+	}
+	if !f.route.Repeats() {
+		return w
+	}
+	go w.run(ctx, cancel)
+	return w
+}
+
+func (w *silence) run(ctx context.Context, cancel context.CancelFunc) {
+	s := w.flow.service
+	last := w.last
+	pause := streamPatience * max(w.flow.route.GapTarget, silentUpstream)
+	// Reading the prompt is silent work.
+	reading := time.Duration(w.flow.request.PromptTokens) * readAllowance
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-ctx.Done():
+			return
+		case <-w.heardCh:
+			last, reading = s.clock.Now(), 0
+		case <-s.clock.After(patiencePoll):
+		}
+		now := s.clock.Now()
+		silent := s.opts.Table.Silence(w.upstream, now)
+		if waited := now.Sub(last) - reading; waited > pause || waited > silentUpstream && silent > silentUpstream+reading {
+			close(w.hit)
+			cancel()
+			return
+		}
+	}
+}
+
+// heard notes an event of the stream.
+func (w *silence) heard() {
+	w.flow.service.opts.Table.Heard(w.upstream, w.flow.service.clock.Now())
+	select {
+	case w.heardCh <- struct{}{}:
+	default:
+	}
+}
+
+func (w *silence) stop() { close(w.done) }
+
+// fired reports whether the watch ended the attempt.
+func (w *silence) fired() bool {
+	select {
+	case <-w.hit:
+		return true
+	default:
+		return false
+	}
+}
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -10,8 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cassiapin/pkg/config"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/timeline"
 )
--- a/pkg/rollout/service.go
+++ b/pkg/rollout/service.go
@@ -14,9 +14,9 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
+	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/plan"
-	"cassiapin/pkg/objectstore"
 	"cassiapin/pkg/quality"
 	"cassiapin/pkg/timeline"
 )
--- a/pkg/rollout/world_test.go
+++ b/pkg/rollout/world_test.go
@@ -16,8 +16,8 @@
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/lease"
-	"cassiapin/pkg/peer"
 	"cassiapin/pkg/objectstore"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 )
 
--- /dev/null
+++ b/pkg/settings/router.go
@@ -0,0 +1,167 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"cassiapin/pkg/config"
+	"cassiapin/pkg/tomlfile"
+)
+
+// Router are the settings of a node that serves on the users' platform.
+type Router struct {
+	Host          string `toml:"host"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+	// Entry serves callers, Ready the health question of the platform and
+	// Directory the question for entry addresses.
+	Entry     string `toml:"entry"`
+	Ready     string `toml:"ready"`
+	Directory string `toml:"directory"`
+	// IP is the node's own address.
+	IP string `toml:"ip"`
+	// PeerPort is the UDP port for messages between nodes, and MetricsPort the
+	// TCP port of metrics; both are the same on all hosts.
+	PeerPort    int `toml:"peer_port"`
+	MetricsPort int `toml:"metrics_port"`
+	// Seeds are addresses of other nodes; only the IP numbers count.
+	Seeds []string `toml:"seeds"`
+	// Heartbeat is the period at which upstreams renew their entries.
+	Heartbeat config.Duration `toml:"heartbeat"`
+	// Domains maps each failure domain to its region.
+	Domains map[string]string `toml:"domains"`
+	Store   Store             `toml:"store"`
+	Bounds  Bounds            `toml:"bounds"`
+	Log     Log               `toml:"log"`
+}
+
+// Store is the platform's object store.
+type Store struct {
+	Address string `toml:"address"`
+	// ReadsPerSecond and WritesPerSecond are for all nodes together.
+	ReadsPerSecond  float64 `toml:"reads_per_second"`
+	WritesPerSecond float64 `toml:"writes_per_second"`
+	// ValueBytes bounds one object.
+	ValueBytes int `toml:"value_bytes"`
+}
+
+// Bounds are the limits that the operators of the platform state.
+type Bounds struct {
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace config.Duration `toml:"grace"`
+	// Drain is how long a leaving upstream still serves.
+	Drain config.Duration `toml:"drain"`
+	// ConfigLag is the time in which a configuration is in force everywhere.
+	ConfigLag config.Duration `toml:"config_lag"`
+	// Rollback is the time in which a bad release gets no more requests.
+	Rollback config.Duration `toml:"rollback"`
+	// RetryRatio and RetryExtra bound the repeated sends of all nodes together
+	// in RetryWindow: ratio times the requests plus extra.
+	RetryRatio  float64         `toml:"retry_ratio"`
+	RetryExtra  float64         `toml:"retry_extra"`
+	RetryWindow config.Duration `toml:"retry_window"`
+	// ExposureShare is the largest share of a service's requests that a
+	// release under trial may get, beside ExposureExtra.
+	ExposureShare float64 `toml:"exposure_share"`
+	ExposureExtra float64 `toml:"exposure_extra"`
+	// ColdFactor and ColdExtra give the requests in one second that a cold
+	// upstream bears: its rate times factor plus extra.
+	ColdFactor float64 `toml:"cold_factor"`
+	ColdExtra  float64 `toml:"cold_extra"`
+	// SessionGap is the longest pause between requests of one session.
+	SessionGap config.Duration `toml:"session_gap"`
+	// DirectoryTTL is the longest time for which callers keep an answer of the
+	// directory.
+	DirectoryTTL config.Duration `toml:"directory_ttl"`
+	// StabilityWindow is how long a disruption counts after its end.
+	StabilityWindow config.Duration `toml:"stability_window"`
+}
+
+// LoadRouter reads and checks the settings of a node on the platform. The
+// error is of type tomlfile.Problems.
+func LoadRouter(file string) (*Router, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, tomlfile.Problems{{File: file, Reason: err.Error()}}
+	}
+	return ParseRouter(file, data)
+}
+
+// ParseRouter decodes and checks the settings of a node on the platform.
+func ParseRouter(file string, data []byte) (*Router, error) {
+	r := &Router{}
+	positions, err := tomlfile.Decode(file, data, r)
+	if err != nil {
+		return nil, err
+	}
+	setDefault(&r.Log.Level, "info")
+	setDefault(&r.Log.Format, "json")
+	c := &checker{positions: positions}
+	c.required("host", r.Host)
+	c.required("region", r.Region)
+	c.required("failure_domain", r.FailureDomain)
+	c.address("entry", r.Entry, true)
+	c.address("ready", r.Ready, true)
+	c.address("directory", r.Directory, true)
+	c.address("store.address", r.Store.Address, false)
+	c.required("ip", r.IP)
+	c.port("peer_port", r.PeerPort)
+	c.port("metrics_port", r.MetricsPort)
+	c.bounds(&r.Bounds)
+	if r.Domains[r.FailureDomain] != r.Region {
+		c.fail("domains", "domains lists failure domain %q in region %q, not %q", r.FailureDomain, r.Domains[r.FailureDomain], r.Region)
+	}
+	c.oneOf("log.level", r.Log.Level, "debug", "info", "warn", "error")
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	return r, nil
+}
+
+const maxPort = 1<<16 - 1
+
+func (c *checker) port(path string, port int) {
+	if port <= 0 || port > maxPort {
+		c.fail(path, "%s %d is not a port", path, port)
+	}
+}
+
+func (c *checker) bounds(b *Bounds) {
+	for path, d := range map[string]config.Duration{
+		"bounds.grace": b.Grace, "bounds.drain": b.Drain, "bounds.config_lag": b.ConfigLag,
+		"bounds.rollback": b.Rollback, "bounds.retry_window": b.RetryWindow,
+		"bounds.session_gap": b.SessionGap, "bounds.directory_ttl": b.DirectoryTTL,
+		"bounds.stability_window": b.StabilityWindow,
+	} {
+		if d.Std() <= 0 {
+			c.fail(path, "%s is missing or not above zero", path)
+		}
+	}
+	for path, x := range map[string]float64{
+		"bounds.retry_ratio": b.RetryRatio, "bounds.retry_extra": b.RetryExtra,
+		"bounds.exposure_share": b.ExposureShare, "bounds.cold_factor": b.ColdFactor,
+	} {
+		if x < 0 {
+			c.fail(path, "%s is below zero", path)
+		}
+	}
+}
+
+// PeerAddress is the node's own address for messages between nodes.
+func (r *Router) PeerAddress() string { return net.JoinHostPort(r.IP, strconv.Itoa(r.PeerPort)) }
+
+// PeerSeeds returns the seeds with the port of messages between nodes.
+func (r *Router) PeerSeeds() []string {
+	seeds := make([]string, 0, len(r.Seeds))
+	for _, s := range r.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			seeds = append(seeds, net.JoinHostPort(host, strconv.Itoa(r.PeerPort)))
+		}
+	}
+	return seeds
+}
+
+// StabilityWindow returns the bound as a duration.
+func (r *Router) StabilityWindow() time.Duration { return r.Bounds.StabilityWindow.Std() }
