knowledge: bound the time that a watch can miss a change

Ruled out: keep-alive probes, which the store's host answers. Change: a watch waits half of the time in which its kind has to take effect.

--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -65,8 +65,11 @@
 	// List returns all objects of a kind and the revision to watch from.
 	List(ctx context.Context, kind Kind) ([]Object, topology.Revision, error)
 	// Watch returns the changes after a revision, as soon as there is one or
-	// when wait has passed, and the revision to go on from.
-	Watch(ctx context.Context, kind Kind, after topology.Revision, wait time.Duration) ([]Change, topology.Revision, error)
+	// when wait has passed, and the revision to go on from. A call that takes
+	// longer than wait and slack fails.
+	Watch(
+		ctx context.Context, kind Kind, after topology.Revision, wait, slack time.Duration,
+	) ([]Change, topology.Revision, error)
 }
 
 // Decoder translates objects. An error names a bad object; the others hold.
@@ -77,9 +80,17 @@
 }
 
 const (
-	// watchWait is how long the store may hold a watch. A longer wait saves
-	// calls; keep-alive probes find silent connections sooner.
-	watchWait = 15 * time.Second
+	// watchShare is the part of the time in which a change has to take effect
+	// for which the store may hold a watch. A watch can miss changes without a
+	// sign of it until the next call; the rest of the time is for that call
+	// and for a list.
+	watchShare = 0.5
+	// slackMin is how much longer than that an answer may take: a multiple of
+	// the store's few milliseconds, small enough to find a lost answer in
+	// time. Each failure doubles the slack up to slackMax, for a store that is
+	// slow.
+	slackMin = 600 * time.Millisecond
+	slackMax = 4800 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call; the pause
 	// doubles and is spread over half of its length.
 	retryMin = 100 * time.Millisecond
@@ -94,6 +105,9 @@
 	Store   Store
 	Decoder Decoder
 	Tracker TrackerOptions
+	// EffectiveIn is the time in which a change of each kind has to take
+	// effect.
+	EffectiveIn map[Kind]time.Duration
 }
 
 // Service reads the store and publishes views. It is registered as
@@ -176,7 +190,7 @@
 
 // follow lists and watches one kind until ctx ends.
 func (s *Service) follow(ctx context.Context, kind Kind) {
-	pause := retryMin
+	pause, slack := retryMin, slackMin
 	var from topology.Revision
 	listed := false
 	var failedSince time.Time
@@ -184,7 +198,7 @@
 		start := s.clock.Now()
 		var err error
 		if listed {
-			from, err = s.watch(ctx, kind, from)
+			from, err = s.watch(ctx, kind, from, slack)
 		} else {
 			from, err = s.list(ctx, kind)
 			listed = err == nil
@@ -197,7 +211,7 @@
 				s.log.Info(eventlog.StoreRegained, "kind", kind.String(), "away_ms", s.clock.Since(failedSince).Milliseconds())
 				failedSince = time.Time{}
 			}
-			pause = retryMin
+			pause, slack = retryMin, slackMin
 			if rest := coalesce - s.clock.Since(start); rest > 0 {
 				_ = s.clock.Sleep(ctx, rest) // Ends early only with ctx, which the loop checks.
 			}
@@ -214,7 +228,7 @@
 			s.update(func(now time.Time) bool { s.tracker.StoreLost(kind, now); return false })
 		}
 		_ = s.clock.Sleep(ctx, pause/2+time.Duration(rand.Int63n(int64(pause))))
-		pause = min(2*pause, retryMax)
+		pause, slack = min(2*pause, retryMax), min(2*slack, slackMax)
 	}
 }
 
@@ -237,8 +251,11 @@
 	return from, nil
 }
 
-func (s *Service) watch(ctx context.Context, kind Kind, from topology.Revision) (topology.Revision, error) {
-	changes, next, err := s.opts.Store.Watch(ctx, kind, from, watchWait)
+func (s *Service) watch(
+	ctx context.Context, kind Kind, from topology.Revision, slack time.Duration,
+) (topology.Revision, error) {
+	wait := time.Duration(watchShare * float64(s.opts.EffectiveIn[kind]))
+	changes, next, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
 		return from, err
 	}
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -57,6 +57,9 @@
 	ConfigLag config.Duration `toml:"config_lag"`
 	// Rollback is the time in which a bad release gets no more requests.
 	Rollback config.Duration `toml:"rollback"`
+	// Evacuation is the time in which an evacuated failure domain gets no more
+	// requests.
+	Evacuation config.Duration `toml:"evacuation"`
 	// RetryRatio and RetryExtra bound the repeated sends of all nodes together
 	// in RetryWindow: ratio times the requests plus extra.
 	RetryRatio  float64         `toml:"retry_ratio"`
@@ -131,7 +134,7 @@
 func (c *checker) bounds(b *Bounds) {
 	for path, d := range map[string]config.Duration{
 		"bounds.grace": b.Grace, "bounds.drain": b.Drain, "bounds.config_lag": b.ConfigLag,
-		"bounds.rollback": b.Rollback, "bounds.retry_window": b.RetryWindow,
+		"bounds.rollback": b.Rollback, "bounds.evacuation": b.Evacuation, "bounds.retry_window": b.RetryWindow,
 		"bounds.session_gap": b.SessionGap, "bounds.directory_ttl": b.DirectoryTTL,
 		"bounds.stability_window": b.StabilityWindow,
 	} {
