--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -85,16 +85,20 @@
 	// sign of it until the next call; the rest of the time is for that call
 	// and for a list.
 	watchShare = 0.5
-	// slackMin is how much longer than that an answer may take: a multiple of
-	// the store's few milliseconds, small enough to find a lost answer in
-	// time. Each failure doubles the slack up to slackMax, for a store that is
-	// slow.
-	slackMin = 600 * time.Millisecond
-	slackMax = 4800 * time.Millisecond
+	// slackMin is how much longer than that an answer may take, and
+	// slackFactor the same as a multiple of the time that the store took to
+	// answer at once, for a store that is slow.
+	slackMin    = 600 * time.Millisecond
+	slackFactor = 4
+	// After a failure the store is asked for changes without a wait. callMin
+	// and callMax bound that call; the time doubles with each failure, so that
+	// a store that is slow is heard and one that is back is found soon.
+	callMin = 500 * time.Millisecond
+	callMax = 1500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call; the pause
 	// doubles and is spread over half of its length.
 	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 	// coalesce is the shortest time between two watches of one kind, so that a
 	// series of changes does not cost one call each at every node.
 	coalesce = 50 * time.Millisecond
@@ -188,48 +192,82 @@
 	return true
 }
 
+// follower is the state of one kind's duty.
+type follower struct {
+	service *Service
+	kind    Kind
+	// from is the revision up to which all changes are known; it counts only
+	// once listed is set.
+	from   topology.Revision
+	listed bool
+	// latency is how long the store took to answer at once; zero asks for a
+	// call without a wait, which measures it.
+	latency     time.Duration
+	callTimeout time.Duration
+	pause       time.Duration
+	failedSince time.Time
+}
+
 // follow lists and watches one kind until ctx ends.
 func (s *Service) follow(ctx context.Context, kind Kind) {
-	pause, slack := retryMin, slackMin
-	var from topology.Revision
-	listed := false
-	var failedSince time.Time
+	f := &follower{service: s, kind: kind, callTimeout: callMin, pause: retryMin}
 	for ctx.Err() == nil {
 		start := s.clock.Now()
-		var err error
-		if listed {
-			from, err = s.watch(ctx, kind, from, slack)
-		} else {
-			from, err = s.list(ctx, kind)
-			listed = err == nil
-		}
-		if ctx.Err() != nil {
+		err := f.call(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
-			if !failedSince.IsZero() {
-				s.log.Info(eventlog.StoreRegained, "kind", kind.String(), "away_ms", s.clock.Since(failedSince).Milliseconds())
-				failedSince = time.Time{}
-			}
-			pause, slack = retryMin, slackMin
+		case err == nil:
+			f.answered()
 			if rest := coalesce - s.clock.Since(start); rest > 0 {
 				_ = s.clock.Sleep(ctx, rest) // Ends early only with ctx, which the loop checks.
 			}
-			continue
+		case errors.Is(err, ErrHistoryLost):
+			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", f.from)
+			f.listed = false
+		default:
+			f.failed(err, start)
+			_ = s.clock.Sleep(ctx, f.pause/2+time.Duration(rand.Int63n(int64(f.pause))))
+			f.pause = min(2*f.pause, retryMax)
 		}
-		if errors.Is(err, ErrHistoryLost) {
-			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", from)
-			listed = false
-			continue
+	}
+}
+
+// call makes the next call of the duty.
+func (f *follower) call(ctx context.Context) (err error) {
+	s := f.service
+	start := s.clock.Now()
+	switch {
+	case !f.listed:
+		if f.from, err = s.list(ctx, f.kind); err == nil {
+			f.listed, f.latency = true, max(s.clock.Since(start), 1)
 		}
-		if failedSince.IsZero() {
-			failedSince = start
-			s.log.Warn(eventlog.StoreLost, "kind", kind.String(), "revision", from, "error", err.Error())
-			s.update(func(now time.Time) bool { s.tracker.StoreLost(kind, now); return false })
+	case f.latency == 0:
+		if f.from, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
+			f.latency = max(s.clock.Since(start), 1)
 		}
-		_ = s.clock.Sleep(ctx, pause/2+time.Duration(rand.Int63n(int64(pause))))
-		pause, slack = min(2*pause, retryMax), min(2*slack, slackMax)
+	default:
+		wait := time.Duration(watchShare * float64(s.opts.EffectiveIn[f.kind]))
+		f.from, err = s.watch(ctx, f.kind, f.from, wait, max(slackMin, slackFactor*f.latency))
+	}
+	return err
+}
+
+func (f *follower) answered() {
+	if !f.failedSince.IsZero() {
+		f.service.log.Info(eventlog.StoreRegained, "kind", f.kind.String(), "away_ms", f.service.clock.Since(f.failedSince).Milliseconds())
+	}
+	f.failedSince, f.pause, f.callTimeout = time.Time{}, retryMin, callMin
+}
+
+func (f *follower) failed(err error, start time.Time) {
+	s := f.service
+	if f.failedSince.IsZero() {
+		f.failedSince = start
+		s.log.Warn(eventlog.StoreLost, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		s.update(func(time.Time) bool { s.tracker.StoreLost(f.kind, start); return false })
 	}
+	f.latency, f.callTimeout = 0, min(2*f.callTimeout, callMax)
 }
 
 func (s *Service) list(ctx context.Context, kind Kind) (topology.Revision, error) {
@@ -252,9 +290,8 @@
 }
 
 func (s *Service) watch(
-	ctx context.Context, kind Kind, from topology.Revision, slack time.Duration,
+	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration,
 ) (topology.Revision, error) {
-	wait := time.Duration(watchShare * float64(s.opts.EffectiveIn[kind]))
 	changes, next, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
 		return from, err
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,21 +13,6 @@
 	"cassiapin/pkg/topology"
 )
 
-const (
-	// silentUpstream is how long an upstream may send nothing to any of this
-	// node's requests before a stream that waits for it goes on elsewhere.
-	silentUpstream = 1200 * time.Millisecond
-	// streamPatience is how many times the longest allowed pause a stream
-	// waits for an upstream that answers others.
-	streamPatience = 2
-	// readAllowance is added to both for each token of the prompt before the
-	// first event: the largest model reads some 18 tokens in a millisecond on
-	// its own and less beside other requests.
-	readAllowance = 150 * time.Microsecond
-	// patiencePoll is the precision of all.
-	patiencePoll = 100 * time.Millisecond
-)
-
 // streamEnd says how one attempt at a stream ended.
 type streamEnd int
 
@@ -159,73 +143,3 @@
 	}
 	return streamComplete, failure{}
 }
-
-// silence cancels an attempt whose upstream has gone silent.
-type silence struct {
-	flow     *flow
-	upstream *topology.Upstream
-	last     time.Time
-	heardCh  chan struct{}
-	done     chan struct{}
-	hit      chan struct{}
-}
-
-// watchSilence starts the watch of an attempt.
-func (f *flow) watchSilence(ctx context.Context, cancel context.CancelFunc, u *topology.Upstream) *silence {
-	w := &silence{
-		flow: f, upstream: u, heardCh: make(chan struct{}, 1), done: make(chan struct{}), hit: make(chan struct{}),
-		last: f.service.clock.Now(),
-	}
-	if !f.route.Repeats() {
-		return w
-	}
-	go w.run(ctx, cancel)
-	return w
-}
-
-func (w *silence) run(ctx context.Context, cancel context.CancelFunc) {
-	s := w.flow.service
-	last := w.last
-	pause := streamPatience * max(w.flow.route.GapTarget, silentUpstream)
-	// Reading the prompt is silent work.
-	reading := time.Duration(w.flow.request.PromptTokens) * readAllowance
-	for {
-		select {
-		case <-w.done:
-			return
-		case <-ctx.Done():
-			return
-		case <-w.heardCh:
-			last, reading = s.clock.Now(), 0
-		case <-s.clock.After(patiencePoll):
-		}
-		now := s.clock.Now()
-		silent := s.opts.Table.Silence(w.upstream, now)
-		if waited := now.Sub(last) - reading; waited > pause || waited > silentUpstream && silent > silentUpstream+reading {
-			close(w.hit)
-			cancel()
-			return
-		}
-	}
-}
-
-// heard notes an event of the stream.
-func (w *silence) heard() {
-	w.flow.service.opts.Table.Heard(w.upstream, w.flow.service.clock.Now())
-	select {
-	case w.heardCh <- struct{}{}:
-	default:
-	}
-}
-
-func (w *silence) stop() { close(w.done) }
-
-// fired reports whether the watch ended the attempt.
-func (w *silence) fired() bool {
-	select {
-	case <-w.hit:
-		return true
-	default:
-		return false
-	}
-}
