tests: views, outages of the store, retry budget and cold limit

Change: table tests and simulations of all nodes: the retry budget in every sliding window, the cold limit in fleets of 1 to 410 nodes and with views that differ, watches that hear nothing, the return of the store.

--- /dev/null
+++ b/pkg/knowledge/knowledge_test.go
@@ -0,0 +1,167 @@
+package knowledge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// fakeStore holds one configuration version. While deaf, waiting watches hear
+// nothing; while away, every call fails.
+type fakeStore struct {
+	mu      sync.Mutex
+	version topology.Revision
+	changed chan struct{}
+	deaf    bool
+	away    bool
+	calls   int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{version: 1, changed: make(chan struct{})} }
+
+func (f *fakeStore) set(fn func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fn()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+var errAway = errors.New("away")
+
+func (f *fakeStore) object() Object { return Object{Name: "main", Revision: f.version} }
+
+func (f *fakeStore) List(_ context.Context, kind Kind) ([]Object, topology.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.away {
+		return nil, 0, errAway
+	}
+	if kind != Configurations {
+		return nil, f.version, nil
+	}
+	return []Object{f.object()}, f.version, nil
+}
+
+func (f *fakeStore) Watch(
+	ctx context.Context, kind Kind, after topology.Revision, wait, slack time.Duration,
+) ([]Change, topology.Revision, error) {
+	end := time.After(wait)
+	for first := true; ; first = false {
+		f.mu.Lock()
+		f.calls += map[bool]int{true: 1}[first]
+		version, deaf, away, changed, object := f.version, f.deaf, f.away, f.changed, f.object()
+		f.mu.Unlock()
+		switch {
+		case away:
+			return nil, 0, errAway
+		case !first && deaf:
+		case version > after && kind == Configurations:
+			return []Change{{Object: object}}, version, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			if deaf { // The history was dropped while the watch heard nothing.
+				return nil, 0, ErrHistoryLost
+			}
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+type fakeDecoder struct{}
+
+func (fakeDecoder) Config(o Object) (*topology.Config, bool, error) {
+	return &topology.Config{Version: uint64(o.Revision), Revision: o.Revision}, true, nil
+}
+func (fakeDecoder) Upstream(Object) (*topology.Upstream, error) { return nil, errors.New("none") }
+func (fakeDecoder) Rollout(Object) (*topology.Rollout, error)   { return nil, errors.New("none") }
+
+const effectiveIn = 600 * time.Millisecond
+
+func start(t *testing.T, store Store) *Service {
+	t.Helper()
+	s := New(Options{Store: store, Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{
+		Configurations: effectiveIn, Upstreams: effectiveIn, Rollouts: effectiveIn, Evacuations: effectiveIn,
+	}})
+	k := kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))
+	if err := k.Register(s); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	return s
+}
+
+func waitFor(t *testing.T, s *Service, version uint64, within time.Duration) {
+	t.Helper()
+	end := time.After(within)
+	for {
+		changed := s.Changed()
+		if c := s.View().Config; c != nil && c.Version >= version {
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			t.Fatalf("configuration %d is not in force after %s", version, within)
+		}
+	}
+}
+
+// TestDeafWatch guards against a watch that misses a change without a sign of
+// it: the change is in force in time all the same.
+func TestDeafWatch(t *testing.T) {
+	store := newFakeStore()
+	s := start(t, store)
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(50 * time.Millisecond) // Lets the watch begin to wait.
+	store.set(func() { store.version, store.deaf = 7, true })
+	waitFor(t, s, 7, effectiveIn)
+}
+
+// TestStoreReturns guards against pauses that grow during an outage so long
+// that the return of the store is noticed late.
+func TestStoreReturns(t *testing.T) {
+	store := newFakeStore()
+	s := start(t, store)
+	waitFor(t, s, 1, time.Second)
+	store.set(func() { store.away = true })
+	time.Sleep(2500 * time.Millisecond)
+	store.set(func() { store.away, store.version = false, 9 })
+	// The longest pause is one and a half times retryMax.
+	waitFor(t, s, 9, 3*retryMax/2+200*time.Millisecond)
+}
+
+// TestIdleCalls guards against a node that asks the store more often than its
+// watches make necessary; each call is paid for.
+func TestIdleCalls(t *testing.T) {
+	store := newFakeStore()
+	s := start(t, store)
+	waitFor(t, s, 1, time.Second)
+	store.mu.Lock()
+	before := store.calls
+	store.mu.Unlock()
+	const span = 1500 * time.Millisecond
+	time.Sleep(span)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	// Four kinds, each with one call a wait, and one for where the span begins.
+	if most := 4 * (int(span/(effectiveIn/2)) + 1); store.calls-before > most {
+		t.Errorf("%d calls in %s, want at most %d", store.calls-before, span, most)
+	}
+}
--- /dev/null
+++ b/pkg/knowledge/tracker_test.go
@@ -0,0 +1,119 @@
+package knowledge
+
+import (
+	"testing"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func tracker() *Tracker { return NewTracker(TrackerOptions{Heartbeat: 1200 * time.Millisecond}) }
+
+func upstream(id string) *topology.Upstream {
+	return &topology.Upstream{ID: id, Service: "pool", Address: "10.0.0.1:1", FailureDomain: "a", Release: "v1", Slots: 4}
+}
+
+// TestConfigNeverGoesBack guards against an older configuration that comes
+// into force again, for example from a list that was answered late.
+func TestConfigNeverGoesBack(t *testing.T) {
+	tr := tracker()
+	for i, tc := range []struct {
+		version uint64
+		rev     topology.Revision
+		taken   bool
+	}{{4, 10, true}, {4, 10, false}, {3, 12, false}, {9, 20, true}, {8, 25, false}} {
+		if got := tr.SetConfig(&topology.Config{Version: tc.version, Revision: tc.rev}); got != tc.taken {
+			t.Errorf("step %d: version %d taken = %v, want %v", i, tc.version, got, tc.taken)
+		}
+	}
+	if v := tr.View().Config.Version; v != 9 {
+		t.Errorf("version in force is %d, want 9", v)
+	}
+}
+
+// TestRemovedUpstream guards against requests to an upstream whose entry was
+// removed without notice while the store was well.
+func TestRemovedUpstream(t *testing.T) {
+	tr := tracker()
+	tr.SetUpstream(upstream("u"), epoch)
+	if !tr.DeleteUpstream("u", epoch.Add(time.Second)) || len(tr.View().Upstreams["pool"]) != 0 {
+		t.Error("a removed upstream is still in the view")
+	}
+}
+
+// TestLapsedEntries guards against an outage of the store that takes all
+// upstreams away: entries that lapsed meanwhile are given time to return, and
+// count as gone after it.
+func TestLapsedEntries(t *testing.T) {
+	tr := tracker()
+	for _, id := range []string{"back", "lost"} {
+		tr.SetUpstream(upstream(id), epoch)
+	}
+	leaving := upstream("leaving")
+	leaving.Leaving = true
+	tr.SetUpstream(leaving, epoch)
+	tr.StoreLost(Upstreams, epoch)
+	regained := epoch.Add(5 * time.Second)
+	tr.StoreAnswered(Upstreams, regained)
+	tr.Retain(Upstreams, map[string]bool{}, regained)
+	if n := len(tr.View().Upstreams["pool"]); n != 2 {
+		t.Fatalf("%d upstreams after the outage, want the 2 that were not leaving", n)
+	}
+	tr.SetUpstream(upstream("back"), regained.Add(time.Second))
+	if gone := tr.Expire(regained.Add(2 * time.Second)); len(gone) != 0 {
+		t.Errorf("gone before the grace period ended: %v", gone)
+	}
+	if gone := tr.Expire(regained.Add(returnGrace)); len(gone) != 1 || gone[0] != "lost" {
+		t.Errorf("gone after the grace period: %v, want [lost]", gone)
+	}
+}
+
+// TestShortOutage guards against a cut watch that delays the news of a removed
+// upstream: no entry lapses in a moment.
+func TestShortOutage(t *testing.T) {
+	tr := tracker()
+	tr.SetUpstream(upstream("u"), epoch)
+	tr.StoreLost(Upstreams, epoch)
+	now := epoch.Add(outageLength / 2)
+	tr.StoreAnswered(Upstreams, now)
+	if !tr.DeleteUpstream("u", now) {
+		t.Error("a removal after a short outage was put off")
+	}
+}
+
+// TestEvacuationEnd guards against full load on upstreams that turned cold
+// while their failure domain was out.
+func TestEvacuationEnd(t *testing.T) {
+	tr := tracker()
+	tr.SetConfig(&topology.Config{Version: 1, Services: map[string]*topology.Service{
+		"pool": {Name: "pool", ColdStart: 3 * time.Second},
+	}})
+	tr.SetEvacuated("a", true, epoch)
+	if !tr.View().Evacuated["a"] {
+		t.Fatal("the failure domain is not out")
+	}
+	tr.SetEvacuated("a", false, epoch)
+	v := tr.View()
+	if v.Evacuated["a"] || !v.ColdUntil["a"].Equal(epoch.Add(5400*time.Millisecond)) {
+		t.Errorf("evacuated %v, cold until %v", v.Evacuated["a"], v.ColdUntil["a"])
+	}
+}
+
+// TestRolloutRevisions guards against an old state of an order that replaces a
+// newer one.
+func TestRolloutRevisions(t *testing.T) {
+	tr := tracker()
+	order := func(created, rev topology.Revision, state topology.RolloutState) *topology.Rollout {
+		return &topology.Rollout{Service: "pool", Target: "v2", Created: created, Revision: rev, State: state}
+	}
+	tr.SetRollout("pool", order(5, 5, topology.RolloutRequested))
+	tr.SetRollout("pool", order(5, 9, topology.RolloutRolledBack))
+	if tr.SetRollout("pool", order(5, 7, topology.RolloutRunning)) {
+		t.Error("an older state was taken")
+	}
+	if !tr.SetRollout("pool", order(12, 12, topology.RolloutRequested)) {
+		t.Error("a new order was not taken")
+	}
+}
--- /dev/null
+++ b/pkg/limits/limits_test.go
@@ -0,0 +1,159 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/topology"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// TestRetryBudgetHolds plays eight nodes with random loads, bursts and nodes
+// that repeat all they can, and counts the repeats of all nodes in every
+// sliding window. It guards against a budget that nodes exceed together.
+func TestRetryBudgetHolds(t *testing.T) {
+	const nodes, step, window = 8, 50 * time.Millisecond, 10 * time.Second
+	opts := RetryOptions{Ratio: 0.9, Extra: 56, Window: window}
+	for seed := range int64(20) {
+		random := rand.New(rand.NewSource(seed))
+		c := clock.NewFake(epoch)
+		var budgets [nodes]*Retries
+		for i := range budgets {
+			budgets[i] = NewRetries(opts, c, func() int { return nodes })
+		}
+		var requests, repeats []int
+		for tick := range 800 {
+			load := 1 + random.Intn(3)
+			if tick/100%3 == 2 {
+				load *= 4
+			}
+			requests, repeats = append(requests, 0), append(repeats, 0)
+			for range load {
+				b := budgets[random.Intn(nodes)]
+				b.Request("pool")
+				requests[tick]++
+				for b.Take("pool", Recovery) {
+					repeats[tick]++
+				}
+			}
+			c.Advance(step)
+			checkWindow(t, seed, requests, repeats, int(window/step), opts)
+		}
+	}
+}
+
+func checkWindow(t *testing.T, seed int64, requests, repeats []int, width int, o RetryOptions) {
+	t.Helper()
+	sum := func(v []int, from, to int) (n int) {
+		for i := max(from, 0); i < max(to, 0); i++ {
+			n += v[i]
+		}
+		return n
+	}
+	end := len(requests)
+	// The requests of a window, the one before it or the one half before count.
+	most := max(sum(requests, end-width, end), sum(requests, end-2*width, end-width), sum(requests, end-width*3/2, end-width/2))
+	if got, limit := float64(sum(repeats, end-width, end)), o.Ratio*float64(most)+o.Extra; got > limit {
+		t.Fatalf("seed %d, tick %d: %v repeats, limit %v", seed, end, got, limit)
+	}
+}
+
+// TestEscalationLeavesRoom guards against cascades that use up the budget that
+// failed requests need.
+func TestEscalationLeavesRoom(t *testing.T) {
+	c := clock.NewFake(epoch)
+	b := NewRetries(RetryOptions{Ratio: 0.9, Extra: 10, Window: 10 * time.Second}, c, func() int { return 1 })
+	for range 100 {
+		b.Request("pool")
+	}
+	for b.Take("pool", Escalation) {
+	}
+	if !b.Take("pool", Recovery) {
+		t.Error("a failed request finds no budget after cascades took theirs")
+	}
+}
+
+// TestColdLimitHolds lets all nodes send all they can to one cold upstream, in
+// fleets of one to 410 nodes, and counts the sends of all in every second. It
+// guards against more than the upstream bears.
+func TestColdLimitHolds(t *testing.T) {
+	const perSecond = 10
+	o := ColdOptions{Factor: 1.5, Extra: 5}
+	limit := int(perSecond*o.Factor + o.Extra)
+	for _, size := range []int{1, 2, 8, 9, 86, 410} {
+		var ids []string
+		for i := range size {
+			ids = append(ids, fmt.Sprintf("node-%d", i))
+		}
+		total := 0
+		for u := range 3 {
+			up := &topology.Upstream{ID: fmt.Sprintf("u-%d", u), Born: 1}
+			total += playCold(t, o, up, ids, perSecond, limit)
+		}
+		if total < 3*3*perSecond/2 {
+			t.Errorf("%d nodes: %d sends in 3 times 3 s, want at least half of the rate", size, total)
+		}
+	}
+}
+
+func playCold(t *testing.T, o ColdOptions, up *topology.Upstream, ids []string, perSecond float64, limit int) (total int) {
+	t.Helper()
+	var gates []*Cold
+	for _, id := range ids {
+		gates = append(gates, NewCold(o, id))
+	}
+	var sends []time.Time
+	for now := epoch; now.Before(epoch.Add(3 * time.Second)); now = now.Add(40 * time.Millisecond) {
+		for _, g := range gates {
+			if g.Take(up, perSecond, ids, now) {
+				sends = append(sends, now)
+			}
+		}
+		recent := 0
+		for _, at := range sends {
+			if now.Sub(at) < time.Second {
+				recent++
+			}
+		}
+		if recent > limit {
+			t.Fatalf("%d nodes: %d sends within a second, limit %d", len(ids), recent, limit)
+		}
+	}
+	return len(sends)
+}
+
+// TestColdViewsDiffer guards against nodes that exceed the bound while they
+// disagree on the members: half of them do not see a third of the fleet.
+func TestColdViewsDiffer(t *testing.T) {
+	const perSecond = 10
+	o := ColdOptions{Factor: 1.5, Extra: 5}
+	var ids []string
+	for i := range 9 {
+		ids = append(ids, fmt.Sprintf("node-%d", i))
+	}
+	worst := 0
+	for u := range 60 {
+		up := &topology.Upstream{ID: fmt.Sprintf("u-%d", u), Born: 1}
+		sends := 0
+		for i, id := range ids {
+			view := ids
+			if i%2 == 0 {
+				view = append(append([]string{}, ids[:3]...), ids[6:]...)
+			}
+			g := NewCold(o, id)
+			for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+				if g.Take(up, perSecond, view, now) {
+					sends++
+				}
+			}
+		}
+		worst = max(worst, sends)
+	}
+	if limit := int(perSecond*o.Factor + o.Extra); worst > limit {
+		t.Errorf("%d sends in one second, limit %d", worst, limit)
+	}
+}
