placement: count the prompts that wait to be read at an upstream

Ruled out: too few slots (at most a third taken). Change: the score is the expected delay; the time to read the open prompts, learnt by model, counts.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -109,6 +109,7 @@
 		}, n.kernel.Clock, nodes.Known),
 		Cold:    limits.NewCold(limits.ColdOptions{Factor: s.Bounds.ColdFactor, Extra: s.Bounds.ColdExtra}, id),
 		Table:   placement.NewTable(),
+		Reading: placement.NewReading(),
 		Cutover: cut,
 	})
 	n.servers, err = n.listen()
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -23,15 +23,21 @@
 	Now   time.Time
 }
 
-// The weights of the score. All are in parts of an upstream's slots, so that a
-// distance is worth a certain difference in load.
+// The weights of the score, in seconds by which a request is served later.
 const (
+	// fullLoad is the delay at an upstream whose slots are all taken: each
+	// request in a batch slows the others.
+	fullLoad = 1.0
+	// readingShare is the part of the prompts that wait to be read in front of
+	// a request, of those that this node knows of; it stands for those of
+	// other nodes as well.
+	readingShare = 1.5
 	// domainDistance and regionDistance are added for upstreams in another
 	// failure domain and in another region.
 	domainDistance = 0.04
 	regionDistance = 0.15
 	// affinityBonus is taken off for the upstream that the prefix is kept at.
-	// An upstream that is fuller than the others by more than that is passed
+	// An upstream that is later than the others by more than that is passed
 	// over, so that one hot prefix spreads.
 	affinityBonus = 0.12
 	// failurePenalty is added at a failure rate of 1.
@@ -63,7 +69,7 @@
 		}
 		s := t.state(u, r.Now)
 		load := s.load(r.Now)
-		score := load/float64(max(u.Slots, 1)) + distance(r, u) + failurePenalty*s.rate(r.Now)
+		score := fullLoad*load/float64(max(u.Slots, 1)) + readingShare*s.reading.Seconds() + distance(r, u) + failurePenalty*s.rate(r.Now)
 		if u == preferred {
 			score -= affinityBonus
 		}
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -33,6 +33,9 @@
 
 // state is what a node knows of one incarnation from its own sends.
 type state struct {
+	// reading is the time that the upstream needs for prompts of this node
+	// that have not had their first event.
+	reading      time.Duration
 	open         int
 	failureRate  float64
 	failedAt     time.Time
@@ -79,12 +82,13 @@
 	}
 }
 
-// Opened counts a send.
-func (t *Table) Opened(u *topology.Upstream, now time.Time) {
+// Opened counts a send whose prompt takes a time to read.
+func (t *Table) Opened(u *topology.Upstream, reading time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
 	s.open++
+	s.reading += reading
 	if s.open == 1 {
 		s.lastByte = now
 	}
@@ -99,6 +103,14 @@
 	}
 }
 
+// Read notes that the upstream has read a prompt, or that the send has ended.
+func (t *Table) Read(u *topology.Upstream, reading time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(u, now)
+	s.reading = max(s.reading-reading, 0)
+}
+
 // Heard notes that bytes arrived from the upstream.
 func (t *Table) Heard(u *topology.Upstream, now time.Time) {
 	t.mu.Lock()
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -40,7 +40,20 @@
 	flow     *flow
 	// released tells the cutover that the request has left the release.
 	released func()
-	closed   bool
+	// reading is the time that the upstream needs for the prompt; it is zero
+	// once the first event has come.
+	reading time.Duration
+	closed  bool
+}
+
+// read notes that the upstream has read the prompt.
+func (a *attempt) read() {
+	if a.reading == 0 {
+		return
+	}
+	s := a.flow.service
+	s.opts.Table.Read(a.upstream, a.reading, s.clock.Now())
+	a.reading = 0
 }
 
 // close ends the attempt; the upstream drops a request that still runs.
@@ -54,6 +67,7 @@
 		_ = a.answer.Body.Close() // The connection is dropped or reused; nothing is lost.
 	}
 	a.released()
+	a.read()
 	a.flow.service.opts.Table.Closed(a.upstream, a.flow.service.clock.Now())
 }
 
@@ -171,7 +185,8 @@
 	a := &attempt{upstream: u, started: now, cancel: cancel, flow: f, released: s.opts.Cutover.Opened(f.target, u.Release)}
 	f.tried[u.Incarnation()] = true
 	f.last = u
-	s.opts.Table.Opened(u, now)
+	a.reading = s.opts.Reading.Estimate(model, f.unreadTokens())
+	s.opts.Table.Opened(u, a.reading, now)
 	answer, err := s.opts.Exchange.Send(ctx, &Send{
 		Request: f.request, Upstream: u, Organisation: f.organisationName(), Model: model,
 		Remaining: remaining, After: after, Urgency: f.urgency(),
@@ -192,6 +207,18 @@
 	return a, nil
 }
 
+// keptShare is the part of the shared prompt that an upstream usually keeps.
+const keptShare = 0.5
+
+// unreadTokens estimates how much of the prompt an upstream has to read.
+func (f *flow) unreadTokens() int {
+	shared := 0
+	for _, part := range f.request.Prefix[:max(len(f.request.Prefix)-1, 0)] {
+		shared += part.Tokens
+	}
+	return max(f.request.PromptTokens-int(keptShare*float64(shared)), 0)
+}
+
 // observe takes what the head of an answer says about the upstream.
 func (f *flow) observe(a *attempt, now time.Time) {
 	table := f.service.opts.Table
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -44,10 +44,8 @@
 	Retries               *limits.Retries
 	Cold                  *limits.Cold
 	Table                 *placement.Table
+	Reading               *placement.Reading
 	Cutover               *cutover.Service
-	// ColdGrace is how long an upstream whose entry is missing the news of a
-	// cold start may go without it.
-	ColdGrace time.Duration
 }
 
 // Service serves requests. It is registered as ServiceName.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -78,6 +78,7 @@
 	if !a.answer.Successful() {
 		return f.streamRefused(ctx, a)
 	}
+	f.firstEvent(a)
 	if !f.begun && ladder.ShouldEscalate(a.answer.Confidence) && f.mayRepeat(ctx, limits.Escalation) {
 		s.log.Info(eventlog.ModelEscalated, f.attrs("upstream", u.ID, "model", f.model,
 			"confidence", a.answer.Confidence, "elapsed_ms", f.elapsed().Milliseconds())...)
@@ -98,6 +99,7 @@
 			return streamFailed, failure{code: result.StreamCut, reason: err.Error(), unreachable: watch.fired()}
 		}
 		watch.heard()
+		f.firstEvent(a)
 		if id >= 0 && id <= f.delivered && f.delivered > 0 {
 			continue // The upstream repeats events that the caller has.
 		}
@@ -114,6 +116,14 @@
 	}
 }
 
+// firstEvent notes that the upstream has read the prompt.
+func (f *flow) firstEvent(a *attempt) {
+	if a.reading > 0 {
+		f.service.opts.Reading.Observe(f.model, f.unreadTokens(), f.service.clock.Since(a.started))
+		a.read()
+	}
+}
+
 // begin sends the head of the first answer once.
 func (f *flow) begin(a *Answer) {
 	if f.begun {
