cascade: fewer escalations while first events are late

Ruled out: retry budget, cold limits. Change: the bound on the confidence falls with the delay of first events, and the better model is asked only if its first event can come in time.

--- a/pkg/cascade/cascade.go
+++ b/pkg/cascade/cascade.go
@@ -1,10 +1,27 @@
 // Package cascade decides which model answers a request: a small one first,
-// and a better one if the small model is not sure of its answer.
+// and a better one if the small model is not sure of its answer. The better
+// model takes several times the work, so fewer requests get it while the
+// upstreams are late.
 package cascade
 
-// acceptConfidence is the model's own opinion of its answer, from 0 to 100,
-// from which on the answer is taken. The users' trials compare such bounds.
-const acceptConfidence = 50
+import "time"
+
+const (
+	// acceptConfidence is the model's own opinion of its answer, from 0 to 100,
+	// from which on the answer is taken while the upstreams are idle. The
+	// users' trials compare such bounds.
+	acceptConfidence = 50
+	// easyDelay is the delay of first events up to which all unsure answers
+	// are asked again, and fullDelay the one from which on none is, both as
+	// parts of the latency objective. Between them the bound falls evenly, so
+	// that the delay settles below the objective at any load.
+	easyDelay = 0.10
+	fullDelay = 0.50
+	// inTime is the part of the latency objective in which the better model's
+	// first event has to be expected: later it earns less than the unsure
+	// answer.
+	inTime = 0.9
+)
 
 // Ladder is the state of one request's cascade.
 type Ladder struct {
@@ -29,12 +46,41 @@
 	return l.models[l.step]
 }
 
-// ShouldEscalate reports whether an answer with the confidence is worth asking
-// a better model. A negative confidence is unknown and is taken.
-func (l *Ladder) ShouldEscalate(confidence int) bool {
-	return confidence >= 0 && confidence < acceptConfidence && l.step < len(l.models)-1
+// Better is the model to ask next, empty if there is none. The models between
+// the smallest and the best are seldom right where the smallest is unsure.
+func (l *Ladder) Better() string {
+	if l.step >= len(l.models)-1 {
+		return ""
+	}
+	return l.models[len(l.models)-1]
+}
+
+// Outlook is what is known when an answer begins.
+type Outlook struct {
+	// Confidence is the model's opinion of its answer, negative if unknown.
+	Confidence int
+	// Delay is how much later than on idle upstreams first events come now.
+	Delay time.Duration
+	// Expected is when the better model's first event would come, counted from
+	// the request's arrival; Target is the objective.
+	Expected, Target time.Duration
+}
+
+// ShouldEscalate reports whether the better model is worth asking. An unknown
+// confidence is taken.
+func (l *Ladder) ShouldEscalate(o Outlook) bool {
+	if o.Confidence < 0 || l.Better() == "" {
+		return false
+	}
+	if o.Target <= 0 {
+		return o.Confidence < acceptConfidence
+	}
+	if o.Expected > time.Duration(inTime*float64(o.Target)) {
+		return false
+	}
+	pressure := (o.Delay.Seconds()/o.Target.Seconds() - easyDelay) / (fullDelay - easyDelay)
+	return float64(o.Confidence) < acceptConfidence*(1-min(max(pressure, 0), 1))
 }
 
-// Escalate moves to the best model. The models between the smallest and the
-// best are seldom right where the smallest is unsure.
+// Escalate moves to the better model.
 func (l *Ladder) Escalate() { l.step = len(l.models) - 1 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/eventlog"
@@ -110,6 +111,7 @@
 		Cold:    limits.NewCold(limits.ColdOptions{Factor: s.Bounds.ColdFactor, Extra: s.Bounds.ColdExtra}, id),
 		Table:   placement.NewTable(),
 		Reading: placement.NewReading(),
+		Delay:   cascade.NewDelay(),
 		Cutover: cut,
 	})
 	n.servers, err = n.listen()
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/eventlog"
@@ -45,6 +46,7 @@
 	Cold                  *limits.Cold
 	Table                 *placement.Table
 	Reading               *placement.Reading
+	Delay                 *cascade.Delay
 	Cutover               *cutover.Service
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -79,9 +79,11 @@
 		return f.streamRefused(ctx, a)
 	}
 	f.firstEvent(a)
-	if !f.begun && ladder.ShouldEscalate(a.answer.Confidence) && f.mayRepeat(ctx, limits.Escalation) {
+	outlook := f.outlook(a, ladder)
+	if !f.begun && ladder.ShouldEscalate(outlook) && f.mayRepeat(ctx, limits.Escalation) {
 		s.log.Info(eventlog.ModelEscalated, f.attrs("upstream", u.ID, "model", f.model,
-			"confidence", a.answer.Confidence, "elapsed_ms", f.elapsed().Milliseconds())...)
+			"confidence", outlook.Confidence, "delay_ms", outlook.Delay.Milliseconds(),
+			"expected_ms", outlook.Expected.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
 		ladder.Escalate()
 		s.opts.Table.Succeeded(u, s.clock.Now())
 		delete(f.tried, u.Incarnation()) // The upstream is well; a better model may run there.
@@ -118,9 +120,24 @@
 
 // firstEvent notes that the upstream has read the prompt.
 func (f *flow) firstEvent(a *attempt) {
-	if a.reading > 0 {
-		f.service.opts.Reading.Observe(f.model, f.unreadTokens(), f.service.clock.Since(a.started))
-		a.read()
+	if a.reading == 0 {
+		return
+	}
+	s := f.service
+	now := s.clock.Now()
+	took := now.Sub(a.started)
+	s.opts.Reading.Observe(f.model, f.unreadTokens(), took)
+	s.opts.Delay.Observe(f.target, took-a.reading, now)
+	a.read()
+}
+
+// outlook tells the cascade what to expect of a better model.
+func (f *flow) outlook(a *attempt, ladder *cascade.Ladder) cascade.Outlook {
+	s := f.service
+	delay := s.opts.Delay.Current(f.target, s.clock.Now())
+	return cascade.Outlook{
+		Confidence: a.answer.Confidence, Delay: delay, Target: f.route.TargetLatency,
+		Expected: f.elapsed() + delay + s.opts.Reading.Estimate(ladder.Better(), f.unreadTokens()),
 	}
 }
 
