--- a/pkg/cutover/service.go
+++ b/pkg/cutover/service.go
@@ -1,8 +1,10 @@
 package cutover
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,22 +39,29 @@
 	// Self is this node's id, Peers the ids of the other nodes that are alive.
 	Self() string
 	Peers() []string
-	// Tell sends a message to all nodes; it does not block.
-	Tell(m Message) error
+	// Tell sends a message to one node, TellAll to all nodes; neither blocks.
+	Tell(node string, m Message) error
+	TellAll(m Message) error
 	// Receive registers the handler of messages.
 	Receive(handle func(m Message))
 }
 
-// Message tells other nodes what a node knows of one trial.
+// Message tells what a node knows of one trial. Each node reports its own
+// counts to the few nodes that sum them up; those tell the sums to all.
 type Message struct {
+	// Sum tells that the counts are those of all nodes.
+	Sum     bool              `cbor:"12,keyasint,omitempty"`
 	Service string            `cbor:"1,keyasint"`
 	Created topology.Revision `cbor:"2,keyasint"`
 	// ElapsedMS is the time since the order by this node's knowledge.
-	ElapsedMS uint64   `cbor:"3,keyasint"`
-	Halted    string   `cbor:"4,keyasint,omitempty"`
-	Evidence  Evidence `cbor:"5,keyasint,omitempty"`
-	NewSent   uint64   `cbor:"6,keyasint,omitempty"`
-	Sent      uint64   `cbor:"7,keyasint,omitempty"`
+	ElapsedMS uint64 `cbor:"3,keyasint"`
+	Halted    string `cbor:"4,keyasint,omitempty"`
+	// Evidence is in reports, Tried in sums: the good answers of the new
+	// release.
+	Evidence Evidence `cbor:"5,keyasint,omitempty"`
+	Tried    uint64   `cbor:"13,keyasint,omitempty"`
+	NewSent  uint64   `cbor:"6,keyasint,omitempty"`
+	Sent     uint64   `cbor:"7,keyasint,omitempty"`
 	// Moved tells that the node has no request at the old release and sends
 	// none.
 	Moved bool `cbor:"8,keyasint,omitempty"`
@@ -213,7 +222,7 @@
 		state topology.RolloutState
 	}
 	var writes []write
-	var messages []Message
+	var messages []addressed
 	s.mu.Lock()
 	now := s.clock.Now()
 	peers := s.opts.Fleet.Peers()
@@ -221,6 +230,8 @@
 		if t.order.State.Final() {
 			continue
 		}
+		turn := rank(t.order.Created, s.opts.Fleet.Self(), peers)
+		sums := turn < summingNodes
 		if reason := Judge(t.evidence()); reason != "" {
 			s.halt(t, reason)
 		}
@@ -229,15 +240,22 @@
 				"progress", t.progress(now), "evidence_nodes", len(t.peers)+1)
 			t.share = share
 		}
-		messages = append(messages, s.message(t, now))
-		if state, ok := s.due(t, peers, now); ok {
+		report := s.report(t, now)
+		for _, node := range summing(t.order.Created, s.opts.Fleet.Self(), peers) {
+			messages = append(messages, addressed{to: node, message: report})
+		}
+		if sums || t.halted != "" && !t.told {
+			t.told = t.halted != ""
+			messages = append(messages, addressed{message: s.sum(t, report)})
+		}
+		if state, ok := s.due(t, turn, peers, now); ok {
 			t.written = now
 			writes = append(writes, write{t.order, state})
 		}
 	}
 	s.mu.Unlock()
 	for _, m := range messages {
-		if err := s.opts.Fleet.Tell(m); err != nil {
+		if err := m.send(s.opts.Fleet); err != nil {
 			metrics.GetOrCreateCounter("cassiapin_cutover_untold_total").Inc()
 		}
 	}
@@ -246,10 +264,25 @@
 	}
 }
 
-func (s *Service) message(t *trial, now time.Time) Message {
+// addressed is a message to one node, or to all if to is empty.
+type addressed struct {
+	to      string
+	message Message
+}
+
+func (a *addressed) send(f Fleet) error {
+	if a.to == "" {
+		return f.TellAll(a.message)
+	}
+	return f.Tell(a.to, a.message)
+}
+
+// report is the message with this node's own counts.
+func (s *Service) report(t *trial, now time.Time) Message {
 	m := Message{
-		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created, ElapsedMS: uint64(now.Sub(t.started).Milliseconds()),
-		Halted: t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.share == 1 && t.openOld == 0,
+		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created,
+		ElapsedMS: uint64(now.Sub(t.started).Milliseconds()),
+		Halted:    t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.share == 1 && t.openOld == 0,
 		Evidence: make(Evidence, len(t.own)),
 	}
 	for key, cell := range t.own {
@@ -261,12 +294,41 @@
 	return m
 }
 
+// sum is the message with the counts of all nodes that report to this one.
+func (s *Service) sum(t *trial, own Message) Message {
+	m := own
+	m.Sum, m.Evidence = true, nil
+	m.Tried = t.goodAnswers()
+	for _, p := range t.peers {
+		m.NewSent += p.message.NewSent
+		m.Sent += p.message.Sent
+	}
+	m.OldSessions = append(m.OldSessions, t.oldSessions...)
+	m.NewSessions = append(m.NewSessions, t.newSessions...)
+	t.oldSessions, t.newSessions = nil, nil
+	return m
+}
+
+// summingNodes is the number of nodes that sum up the reports. They are in
+// different places of a pseudo-random order for each trial, and when one dies
+// the next in the order takes its place.
+const summingNodes = 3
+
+// summing returns the other nodes that sum up the reports of an order.
+func summing(created topology.Revision, self string, peers []string) []string {
+	all := append([]string{self}, peers...)
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Compare(cohort(uint64(created), a), cohort(uint64(created), b))
+	})
+	return slices.DeleteFunc(all[:min(summingNodes, len(all))], func(n string) bool { return n == self })
+}
+
 // due returns the state that this node has to write now, if any.
-func (s *Service) due(t *trial, peers []string, now time.Time) (topology.RolloutState, bool) {
+func (s *Service) due(t *trial, place int, peers []string, now time.Time) (topology.RolloutState, bool) {
 	if !t.written.IsZero() && now.Sub(t.written) < rewrite {
 		return 0, false
 	}
-	turn := time.Duration(rank(t.order.Created, s.opts.Fleet.Self(), peers)) * writeTurn
+	turn := time.Duration(place) * writeTurn
 	switch {
 	case t.halted != "":
 		if t.haltedAt.IsZero() {
@@ -325,7 +387,13 @@
 	if t == nil || t.order.Created != m.Created {
 		return
 	}
-	t.peers[m.Node] = peerReport{message: m, at: now}
+	if m.Sum {
+		t.sum = m
+	} else {
+		t.peers[m.Node] = peerReport{message: m, at: now}
+		t.oldSessions = append(t.oldSessions, m.OldSessions...)
+		t.newSessions = append(t.newSessions, m.NewSessions...)
+	}
 	if start := now.Add(-time.Duration(m.ElapsedMS) * time.Millisecond); start.Before(t.started) {
 		t.started = start
 	}
--- a/pkg/cutover/trial.go
+++ b/pkg/cutover/trial.go
@@ -140,7 +140,14 @@
 	halted string
 	share  float64
 	own    Evidence
-	peers  map[string]peerReport
+	// peers are the reports to this node, which has all of them only if it
+	// sums them up; sum is the latest sum by another node.
+	peers map[string]peerReport
+	sum   Message
+	// oldSessions and newSessions are reported bindings to pass on.
+	oldSessions, newSessions []uint64
+	// told tells that this node has told all nodes of the halt.
+	told bool
 	// newSent is the number of requests to the new release, sent the number
 	// of all requests, at this node.
 	newSent, sent uint64
@@ -196,14 +203,17 @@
 const minTrial = 8
 
 // tried reports whether the release has answered enough requests.
-func (t *trial) tried() bool {
+func (t *trial) tried() bool { return max(t.goodAnswers(), t.sum.Tried) >= minTrial }
+
+// goodAnswers counts the good answers of the new release that this node knows.
+func (t *trial) goodAnswers() uint64 {
 	good := uint64(0)
 	for _, e := range t.evidence() {
 		for _, cell := range e {
 			good += cell.New.Good
 		}
 	}
-	return good >= minTrial
+	return good
 }
 
 // evidence returns the counts of all nodes.
@@ -227,6 +237,9 @@
 		tried += p.message.NewSent
 		sent += p.message.Sent
 	}
+	if t.sum.Sent > sent {
+		tried, sent = t.sum.NewSent, t.sum.Sent
+	}
 	return float64(tried) >= exposure*trialExposure*float64(sent)+extra/2
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -88,15 +88,16 @@
 		},
 		Seeds: s.PeerSeeds(),
 	})
+	nodes := &fleet{members: n.members, msgr: transport}
 	n.knowledge = knowledge.New(knowledge.Options{
 		Store: store, Decoder: platform.Translator{Regions: s.Domains},
+		Peers:   notices{nodes},
 		Tracker: knowledge.TrackerOptions{Heartbeat: s.Heartbeat.Std()},
 		EffectiveIn: map[knowledge.Kind]time.Duration{
 			knowledge.Configurations: s.Bounds.ConfigLag.Std(), knowledge.Upstreams: s.Bounds.Drain.Std(),
 			knowledge.Rollouts: s.Bounds.Rollback.Std(), knowledge.Evacuations: s.Bounds.Evacuation.Std(),
 		},
 	})
-	nodes := &fleet{members: n.members, msgr: transport}
 	cut := cutover.New(cutover.Options{
 		Store: platform.RolloutStore{Store: store}, Knowledge: n.knowledge, Fleet: nodes,
 		SessionGap:    s.Bounds.SessionGap.Std(),
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -4,18 +4,24 @@
 	"context"
 	"log/slog"
 	"slices"
+	"time"
 
 	"gopkg.in/tomb.v2"
 
 	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/knowledge"
 	"cassiapin/pkg/membership"
 	"cassiapin/pkg/peer"
 )
 
-// kindCutover is the message of the cutover service.
-const kindCutover peer.Kind = "cutover.evidence"
+// The messages between nodes.
+const (
+	kindCutover    peer.Kind = "cutover.report"
+	kindCutoverSum peer.Kind = "cutover.sum"
+	kindNotice     peer.Kind = "knowledge.notice"
+)
 
 // fleet joins members and messages to what the services need of the other
 // nodes. It implements cutover.Fleet and relay.Fleet.
@@ -33,6 +39,10 @@
 	return nil
 }
 
+// membersPause is the shortest time between two lines about the members; a
+// fleet that starts or loses a failure domain changes many times in a second.
+const membersPause = time.Second
+
 // Run logs the changes of the members.
 func (f *fleet) Run(t *tomb.Tomb) error {
 	changes := f.members.Subscribe()
@@ -42,7 +52,13 @@
 			case <-t.Dying():
 				return nil
 			case <-changes:
-				f.log.Info(eventlog.MembersChanged, "serving", f.Nodes(), "live", len(f.members.Live()), "isolated", f.members.Isolated())
+				f.log.Info(eventlog.MembersChanged, "live", len(f.members.Live()), "known", f.Known(),
+					"isolated", f.members.Isolated())
+			}
+			select {
+			case <-t.Dying():
+				return nil
+			case <-time.After(membersPause):
 			}
 		}
 	})
@@ -83,12 +99,24 @@
 }
 
 // Tell implements cutover.Fleet.
-func (f *fleet) Tell(m cutover.Message) error { return f.msgr.Flood(kindCutover, m) }
+func (f *fleet) Tell(node string, m cutover.Message) error {
+	return f.msgr.Notify(peer.NodeID(node), kindCutover, m)
+}
+
+// TellAll implements cutover.Fleet.
+func (f *fleet) TellAll(m cutover.Message) error { return f.msgr.Flood(kindCutoverSum, m) }
 
 // Receive implements cutover.Fleet.
 func (f *fleet) Receive(handle func(m cutover.Message)) {
-	f.msgr.Handle(kindCutover, func(_ context.Context, _ peer.NodeID, body []byte) (any, error) {
-		var m cutover.Message
+	for _, kind := range []peer.Kind{kindCutover, kindCutoverSum} {
+		handleKind(f.msgr, kind, handle)
+	}
+}
+
+// handleKind registers a typed handler.
+func handleKind[T any](msgr peer.Messenger, kind peer.Kind, handle func(m T)) {
+	msgr.Handle(kind, func(_ context.Context, _ peer.NodeID, body []byte) (any, error) {
+		var m T
 		if err := peer.Decode(body, &m); err != nil {
 			return nil, err
 		}
@@ -96,3 +124,46 @@
 		return nil, nil
 	})
 }
+
+// notices implements knowledge.Peers.
+type notices struct {
+	*fleet
+}
+
+// Tell implements knowledge.Peers.
+func (n notices) Tell(notice knowledge.Notice) error { return n.msgr.Flood(kindNotice, notice) }
+
+// Receive implements knowledge.Peers.
+func (n notices) Receive(handle func(notice knowledge.Notice)) {
+	handleKind(n.msgr, kindNotice, handle)
+}
+
+// Reads implements knowledge.Peers.
+func (n notices) Reads() bool {
+	return slices.Contains(readers(n.members.Live()), n.msgr.Self())
+}
+
+// readingNodes is the number of nodes that read the store for all. One can
+// die, and one be turned away by the store, without the others noticing.
+const readingNodes = 3
+
+// readers chooses the nodes that read the store: the first of each failure
+// domain by rendezvous hashing, and of those the first few, so that the loss
+// of a domain leaves some.
+func readers(members []peer.Member) []peer.NodeID {
+	byDomain := make(map[string][]peer.Member)
+	for _, m := range members {
+		if m.State == peer.Alive {
+			byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
+		}
+	}
+	var firsts []peer.Member
+	for _, list := range byDomain {
+		firsts = append(firsts, peer.Rendezvous("readers", list, 1)...)
+	}
+	var ids []peer.NodeID
+	for _, m := range peer.Rendezvous("readers", firsts, readingNodes) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -11,6 +11,7 @@
 	StoreLost      = "store lost"
 	StoreRegained  = "store regained"
 	HistoryLost    = "store history lost"
+	NoticeFailed   = "notice not sent"
 	ObjectRefused  = "object refused"
 	ConfigTaken    = "configuration taken"
 	UpstreamRead   = "upstream read"
--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -108,6 +108,8 @@
 type Options struct {
 	Store   Store
 	Decoder Decoder
+	// Peers is nil for a node that reads the store by itself.
+	Peers   Peers
 	Tracker TrackerOptions
 	// EffectiveIn is the time in which a change of each kind has to take
 	// effect.
@@ -128,12 +130,16 @@
 	view    atomic.Pointer[topology.View]
 	// contact is the Unix nanosecond of the latest answer by kind.
 	contact [Nodes]atomic.Int64
+	notices [Nodes]chan Notice
 }
 
 // New returns a service without knowledge.
 func New(o Options) *Service {
 	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker)}
 	s.view.Store(&topology.View{})
+	for kind := range s.notices {
+		s.notices[kind] = make(chan Notice, noticeQueue)
+	}
 	return s
 }
 
@@ -143,6 +149,9 @@
 // Provision implements kernel.Service.
 func (s *Service) Provision(k *kernel.Kernel) error {
 	s.clock, s.log = k.Clock, k.Log
+	if s.opts.Peers != nil {
+		s.opts.Peers.Receive(s.receive)
+	}
 	return nil
 }
 
@@ -206,12 +215,15 @@
 	callTimeout time.Duration
 	pause       time.Duration
 	failedSince time.Time
+	// verified is when the state was last known to be the newest.
+	verified time.Time
 }
 
 // follow lists and watches one kind until ctx ends.
 func (s *Service) follow(ctx context.Context, kind Kind) {
 	f := &follower{service: s, kind: kind, callTimeout: callMin, pause: retryMin}
 	for ctx.Err() == nil {
+		f.listen(ctx)
 		start := s.clock.Now()
 		err := f.call(ctx)
 		switch {
@@ -236,23 +248,38 @@
 // call makes the next call of the duty.
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
-	start := s.clock.Now()
+	start, before := s.clock.Now(), f.from
+	var changes []Change
+	whole := true
 	switch {
 	case !f.listed:
 		if f.from, err = s.list(ctx, f.kind); err == nil {
 			f.listed, f.latency = true, max(s.clock.Since(start), 1)
 		}
+		whole = false
 	case f.latency == 0:
-		if f.from, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
+		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
 			f.latency = max(s.clock.Since(start), 1)
 		}
 	default:
-		wait := time.Duration(watchShare * float64(s.opts.EffectiveIn[f.kind]))
-		f.from, err = s.watch(ctx, f.kind, f.from, wait, max(slackMin, slackFactor*f.latency))
+		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(slackMin, slackFactor*f.latency))
+	}
+	if err == nil {
+		f.verified = s.clock.Now()
+		f.tell(before, changes, whole)
 	}
 	return err
 }
 
+// wait is how long the store may hold the watch of the kind.
+func (f *follower) wait() time.Duration {
+	share := watchShare
+	if f.service.opts.Peers != nil && f.service.opts.Peers.Reads() {
+		share = readShare
+	}
+	return time.Duration(share * float64(f.service.opts.EffectiveIn[f.kind]))
+}
+
 func (f *follower) answered() {
 	if !f.failedSince.IsZero() {
 		f.service.log.Info(eventlog.StoreRegained, "kind", f.kind.String(), "away_ms", f.service.clock.Since(f.failedSince).Milliseconds())
@@ -291,10 +318,10 @@
 
 func (s *Service) watch(
 	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration,
-) (topology.Revision, error) {
+) (topology.Revision, []Change, error) {
 	changes, next, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
-		return from, err
+		return from, nil, err
 	}
 	s.contact[kind].Store(s.clock.Now().UnixNano())
 	s.update(func(now time.Time) bool {
@@ -305,7 +332,7 @@
 		}
 		return changed
 	})
-	return max(next, from), nil
+	return max(next, from), changes, nil
 }
 
 // apply decodes one object and gives it to the tracker. The caller holds the
--- /dev/null
+++ b/pkg/knowledge/notice.go
@@ -0,0 +1,176 @@
+package knowledge
+
+import (
+	"context"
+	"time"
+
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/topology"
+)
+
+// Notice tells other nodes what a node that reads the store has read. A notice
+// without changes says that nothing has changed, or only how far the store has
+// come.
+type Notice struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// From and To are the revisions before and after the changes.
+	From topology.Revision `cbor:"2,keyasint"`
+	To   topology.Revision `cbor:"3,keyasint"`
+	// Whole tells that Changes has everything between From and To.
+	Whole   bool           `cbor:"4,keyasint,omitempty"`
+	Changes []NoticeChange `cbor:"5,keyasint,omitempty"`
+	// GraceMS is what is left of the time for entries that lapsed in an
+	// outage of the store.
+	GraceMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// NoticeChange is one change in a notice.
+type NoticeChange struct {
+	Name     string            `cbor:"1,keyasint"`
+	Revision topology.Revision `cbor:"2,keyasint"`
+	Created  topology.Revision `cbor:"3,keyasint"`
+	Deleting bool              `cbor:"4,keyasint,omitempty"`
+	Deleted  bool              `cbor:"5,keyasint,omitempty"`
+	Spec     []byte            `cbor:"6,keyasint,omitempty"`
+	Status   []byte            `cbor:"7,keyasint,omitempty"`
+}
+
+// Peers are the other nodes.
+type Peers interface {
+	// Reads reports whether this node reads the store for the others. A few
+	// nodes do; the others read it when they hear nothing.
+	Reads() bool
+	// Tell sends a notice to all nodes; it does not block.
+	Tell(n Notice) error
+	// Receive registers the handler of notices.
+	Receive(handle func(n Notice))
+}
+
+const (
+	// readShare is the part of the time in which a change has to take effect
+	// for which a reader's watch waits, and with it the longest time between
+	// its notices.
+	readShare = 0.35
+	// trustShare is the same for the time after which a node that hears no
+	// notice asks the store itself; the rest is for that call.
+	trustShare = 0.64
+	// noticeBytes bounds the changes in a notice; larger ones, as most
+	// configurations are, are read from the store.
+	noticeBytes = 16 << 10
+	// noticeQueue bounds the notices of a kind that wait.
+	noticeQueue = 64
+)
+
+// tell sends what a call of a reader has brought.
+func (f *follower) tell(before topology.Revision, changes []Change, whole bool) {
+	s := f.service
+	if s.opts.Peers == nil || !s.opts.Peers.Reads() {
+		return
+	}
+	n := Notice{Kind: f.kind, From: before, To: f.from, Whole: whole, GraceMS: s.graceLeft().Milliseconds()}
+	size := 0
+	for _, c := range changes {
+		size += len(c.Object.Spec) + len(c.Object.Status)
+	}
+	if size > noticeBytes {
+		n.Whole = false
+	} else {
+		n.Changes = noticeChanges(changes)
+	}
+	if err := s.opts.Peers.Tell(n); err != nil {
+		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+	}
+}
+
+func noticeChanges(changes []Change) []NoticeChange {
+	out := make([]NoticeChange, 0, len(changes))
+	for _, c := range changes {
+		o := c.Object
+		out = append(out, NoticeChange{
+			Name: o.Name, Revision: o.Revision, Created: o.Created, Deleting: o.Deleting, Deleted: c.Deleted,
+			Spec: o.Spec, Status: o.Status,
+		})
+	}
+	return out
+}
+
+func (n *Notice) changes() []Change {
+	out := make([]Change, 0, len(n.Changes))
+	for _, c := range n.Changes {
+		out = append(out, Change{Deleted: c.Deleted, Object: Object{
+			Name: c.Name, Revision: c.Revision, Created: c.Created, Deleting: c.Deleting, Spec: c.Spec, Status: c.Status,
+		}})
+	}
+	return out
+}
+
+func (s *Service) graceLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.tracker.graceUntil.Sub(s.clock.Now()), 0)
+}
+
+// receive queues a notice for the duty of its kind.
+func (s *Service) receive(n Notice) {
+	if n.Kind < Configurations || n.Kind > Evacuations {
+		return
+	}
+	select {
+	case s.notices[n.Kind] <- n:
+	default:
+		// The duty is busy; the next notice shows what it has missed.
+	}
+}
+
+// listen waits for notices as long as they come. It returns when the store has
+// to be asked: for changes that a notice only points to, or because no notice
+// has come for too long.
+func (f *follower) listen(ctx context.Context) {
+	s := f.service
+	trust := time.Duration(trustShare * float64(s.opts.EffectiveIn[f.kind]))
+	for s.opts.Peers != nil && f.listed && f.failedSince.IsZero() && !s.opts.Peers.Reads() {
+		left := trust - s.clock.Since(f.verified)
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(left):
+			return
+		case n := <-s.notices[f.kind]:
+			if !f.take(n) {
+				return
+			}
+		}
+	}
+}
+
+// take applies a notice. It returns false when the store has to be asked.
+func (f *follower) take(n Notice) bool {
+	s := f.service
+	switch {
+	case n.To < f.from:
+		return true // From a reader that is behind; it says nothing new.
+	case n.To > f.from && (!n.Whole || n.From > f.from):
+		f.latency = 0 // Asks without a wait.
+		return false
+	}
+	s.contact[f.kind].Store(s.clock.Now().UnixNano())
+	f.verified = s.clock.Now()
+	if n.To == f.from {
+		return true
+	}
+	f.from = n.To
+	s.update(func(now time.Time) bool {
+		if n.GraceMS > 0 {
+			s.tracker.Grace(now.Add(time.Duration(n.GraceMS) * time.Millisecond))
+		}
+		changed := false
+		for _, c := range n.changes() {
+			changed = s.apply(f.kind, c, now) || changed
+		}
+		return changed
+	})
+	return true
+}
--- a/pkg/knowledge/tracker.go
+++ b/pkg/knowledge/tracker.go
@@ -68,11 +68,18 @@
 // enough for entries to lapse, a grace period begins.
 func (t *Tracker) StoreAnswered(kind Kind, now time.Time) {
 	if kind == Upstreams && !t.lostAt[kind].IsZero() && now.Sub(t.lostAt[kind]) >= outageLength {
-		t.graceUntil = now.Add(returnGrace)
+		t.Grace(now.Add(returnGrace))
 	}
 	t.lostAt[kind] = time.Time{}
 }
 
+// Grace lets entries that lapsed in an outage come back until a moment.
+func (t *Tracker) Grace(until time.Time) {
+	if until.After(t.graceUntil) {
+		t.graceUntil = until
+	}
+}
+
 // SetConfig takes a configuration unless it is older than the one in force.
 func (t *Tracker) SetConfig(c *topology.Config) bool {
 	if t.config != nil && (c.Version <= t.config.Version || c.Revision < t.config.Revision) {
