--- /dev/null
+++ b/pkg/cutover/service_test.go
@@ -0,0 +1,218 @@
+package cutover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+// traffic sends requests of sessions to random nodes and counts what the new
+// release gets.
+type traffic struct {
+	world *world
+	// failNew is the share of the new release's answers that fail, from
+	// failFrom on.
+	failNew  float64
+	failFrom time.Duration
+
+	total, exposed, bad int
+	badAt               time.Time // The fiftieth bad answer.
+	lateExposed         int
+	// last is the latest request of a session, and moved counts sessions that
+	// were moved in the first half.
+	last  map[string]sighting
+	moved int
+	back  int
+}
+
+type sighting struct {
+	at  time.Time
+	new bool
+}
+
+func (tr *traffic) request() {
+	w := tr.world
+	n, now := w.live(), w.clock.Now()
+	session := fmt.Sprintf("s-%d", w.random.Intn(400))
+	a := n.service.Assign("pool", session, now)
+	release := "v1"
+	if !a.Permits("v1") {
+		release = "v2"
+	}
+	new := release == "v2"
+	closed := n.service.Opened("pool", release)
+	took := time.Duration(100+w.random.Intn(2500)) * time.Millisecond
+	good := !new || w.since(now) < tr.failFrom || w.random.Float64() >= tr.failNew
+	tr.total++
+	if new {
+		tr.exposed++
+		if !good {
+			if tr.bad++; tr.bad == 50 {
+				tr.badAt = now
+			}
+		}
+		if !tr.badAt.IsZero() && now.Sub(tr.badAt) > 5*time.Second {
+			tr.lateExposed++
+		}
+	} else {
+		w.running = append(w.running, now.Add(took))
+	}
+	if old, ok := tr.last[session]; ok && now.Sub(old.at) < sessionGap && old.new != new {
+		if !new {
+			tr.back++
+		} else if w.since(now) < worldDuration/2 {
+			tr.moved++
+		}
+	}
+	tr.last[session] = sighting{now, new}
+	n.service.Answered("pool", release, "route/model", good, 80*time.Millisecond)
+	end := now.Add(took)
+	w.ends = append(w.ends, ending{end, closed})
+}
+
+func play(seed int64, nodes int, loss float64, tr *traffic, events func(w *world, at time.Duration)) *world {
+	w := newWorld(seed, nodes, loss)
+	tr.world, tr.last = w, make(map[string]sighting)
+	for at := time.Duration(0); at < worldDuration; at += worldTick {
+		w.advance()
+		if events != nil {
+			events(w, at)
+		}
+		if w.random.Float64() < 0.9 {
+			tr.request()
+		}
+		w.endRequests()
+	}
+	return w
+}
+
+// seeds is the number of interleavings of each case.
+const seeds = 60
+
+// TestGoodRelease plays a good release with lost, late and reordered messages
+// and lost answers of the store. It guards against an order that is never
+// completed, one that is completed while requests run at the old release, and
+// sessions that are moved early or back.
+func TestGoodRelease(t *testing.T) {
+	for seed := range int64(seeds) {
+		tr := &traffic{}
+		w := play(seed, 8, 0.1, tr, nil)
+		if len(w.finals) != 1 || w.finals[0] != topology.RolloutCompleted {
+			t.Fatalf("seed %d: final states %v, want one completed", seed, w.finals)
+		}
+		if w.brokenBy != "" {
+			t.Fatalf("seed %d: %s", seed, w.brokenBy)
+		}
+		if tr.moved > 3 || tr.back > 0 {
+			t.Fatalf("seed %d: %d sessions moved in the first half, %d moved back", seed, tr.moved, tr.back)
+		}
+	}
+}
+
+// TestBadRelease guards against a bad release that gets more requests than the
+// bound, that still gets some 5 s after its fiftieth bad answer, or that is
+// completed. The release turns bad at different times.
+func TestBadRelease(t *testing.T) {
+	for seed := range int64(seeds) {
+		tr := &traffic{failNew: 0.5, failFrom: time.Duration(seed%5) * 3 * time.Second}
+		w := play(seed, 8, 0.1, tr, nil)
+		if len(w.finals) != 1 || w.finals[0] != topology.RolloutRolledBack {
+			t.Fatalf("seed %d: final states %v, want one rolled back", seed, w.finals)
+		}
+		if limit := 0.15*float64(tr.total) + 30; float64(tr.exposed) > limit {
+			t.Fatalf("seed %d: %d of %d requests at the bad release, limit %.0f", seed, tr.exposed, tr.total, limit)
+		}
+		if tr.lateExposed > 0 {
+			t.Fatalf("seed %d: %d requests at the bad release 5 s after its fiftieth bad answer", seed, tr.lateExposed)
+		}
+	}
+}
+
+// TestJudgesDie kills nodes, the summing ones first, and starts them again
+// without memory. It guards against an order that nobody decides on, or that
+// is decided twice.
+func TestJudgesDie(t *testing.T) {
+	for seed := range int64(seeds) {
+		tr := &traffic{failNew: 0.5 * float64(seed%2), failFrom: 4 * time.Second}
+		w := play(seed, 8, 0.05, tr, func(w *world, at time.Duration) {
+			switch at {
+			case 3 * time.Second, 6 * time.Second:
+				for _, id := range summing(w.order.Created, w.nodes[0].id, w.nodes[0].Peers())[:2] {
+					w.node(id).dead = true
+				}
+			case 5 * time.Second, 8 * time.Second:
+				for _, n := range w.nodes {
+					if n.dead {
+						w.start(n.id)
+					}
+				}
+			}
+		})
+		want := topology.RolloutCompleted
+		if seed%2 == 1 {
+			want = topology.RolloutRolledBack
+		}
+		if len(w.finals) != 1 || w.finals[0] != want {
+			t.Fatalf("seed %d: final states %v, want one %s", seed, w.finals, want)
+		}
+		if w.brokenBy != "" {
+			t.Fatalf("seed %d: %s", seed, w.brokenBy)
+		}
+	}
+}
+
+// TestJudge guards against a verdict from chance, and against a bad release
+// that only one route or the time to the first event shows.
+func TestJudge(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		e    Evidence
+		bad  bool
+	}{
+		{"nothing", nil, false},
+		{"equal failures", Evidence{"a": {Old: Count{Good: 86, Bad: 14}, New: Count{Good: 43, Bad: 7}}}, false},
+		{"three failures", Evidence{"a": {Old: Count{Good: 100}, New: Count{Good: 1, Bad: 3}}}, false},
+		{"half fails", Evidence{"a": {Old: Count{Good: 100}, New: Count{Good: 4, Bad: 4}}}, true},
+		{"one route", Evidence{
+			"a": {Old: Count{Good: 100}, New: Count{Good: 80}}, "b": {Old: Count{Good: 20}, New: Count{Good: 4, Bad: 4}},
+		}, true},
+		{"slow", Evidence{"a": {Old: Count{Good: 50, FirstByteMS: 5000}, New: Count{Good: 10, FirstByteMS: 9000}}}, true},
+		{"a little slow", Evidence{"a": {Old: Count{Good: 50, FirstByteMS: 5000}, New: Count{Good: 10, FirstByteMS: 2500}}}, false},
+	} {
+		if got := Judge([]Evidence{tc.e}) != ""; got != tc.bad {
+			t.Errorf("%s: bad = %v", tc.name, got)
+		}
+	}
+}
+
+// TestSettled guards against requests to a release that appears before its
+// order is known, and to one that was rolled back.
+func TestSettled(t *testing.T) {
+	w := newWorld(1, 1, 0)
+	n := w.nodes[0]
+	n.view = &topology.View{Upstreams: map[string][]*topology.Upstream{"pool": {{ID: "a", Service: "pool", Release: "v1"}}}}
+	n.service.follow()
+	w.clock.Advance(time.Second)
+	n.view = &topology.View{Upstreams: map[string][]*topology.Upstream{"pool": {
+		{ID: "a", Service: "pool", Release: "v1"}, {ID: "b", Service: "pool", Release: "v2"},
+	}}}
+	n.service.follow()
+	a := n.service.Assign("pool", "", w.clock.Now())
+	if !a.Permits("v1") || a.Permits("v2") {
+		t.Error("a release without an order is used at once")
+	}
+	w.clock.Advance(probation)
+	if a := n.service.Assign("pool", "", w.clock.Now()); !a.Permits("v2") {
+		t.Error("a release without an order is never used")
+	}
+	w.order.State = topology.RolloutRolledBack
+	n.see()
+	n.view.Rollouts = nil
+	n.service.follow()
+	a = n.service.Assign("pool", "", w.clock.Now())
+	if a.Permits("v2") || a.HasFallback() {
+		t.Error("a release that was rolled back is used after its order was removed")
+	}
+}
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -55,8 +55,9 @@
 	// notice asks the store itself; the rest is for that call.
 	trustShare = 0.64
 	// noticeBytes bounds the changes in a notice; larger ones, as most
-	// configurations are, are read from the store.
-	noticeBytes = 16 << 10
+	// configurations are, are read from the store: a flood carries a copy over
+	// many links, and those between regions are paid by volume.
+	noticeBytes = 2 << 10
 	// noticeQueue bounds the notices of a kind that wait.
 	noticeQueue = 64
 )
--- /dev/null
+++ b/pkg/placement/choose_test.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func up(id, domain, region string) *topology.Upstream {
+	return &topology.Upstream{ID: id, Service: "pool", FailureDomain: domain, Region: region, Slots: 10, Born: 1}
+}
+
+func request(now time.Time, list ...*topology.Upstream) Request {
+	return Request{
+		Upstreams: list, FailureDomain: "a", Region: "r", Now: now,
+		Usable: func(*topology.Upstream, time.Time) bool { return true },
+	}
+}
+
+func choose(t *testing.T, table *Table, r Request) string {
+	t.Helper()
+	c, ok := table.Choose(r, 0.5)
+	if !ok {
+		return ""
+	}
+	return c.Upstream.ID
+}
+
+// TestChooseNear guards against requests that cross to another region while a
+// near upstream is idle, and against a near one that is overloaded first.
+func TestChooseNear(t *testing.T) {
+	table := NewTable()
+	near, far := up("near", "a", "r"), up("far", "c", "q")
+	if got := choose(t, table, request(epoch, far, near)); got != "near" {
+		t.Errorf("idle: %q", got)
+	}
+	for range 6 {
+		table.Opened(near, 0, epoch)
+	}
+	if got := choose(t, table, request(epoch, far, near)); got != "far" {
+		t.Errorf("with a loaded near upstream: %q", got)
+	}
+}
+
+// TestChooseAroundLongPrompts guards against short requests that wait behind
+// long prompts at an upstream with few requests.
+func TestChooseAroundLongPrompts(t *testing.T) {
+	table := NewTable()
+	long, short := up("long", "a", "r"), up("short", "a", "r")
+	table.Opened(long, 2*time.Second, epoch)
+	table.Opened(short, 10*time.Millisecond, epoch)
+	table.Opened(short, 10*time.Millisecond, epoch)
+	if got := choose(t, table, request(epoch, long, short)); got != "short" {
+		t.Errorf("chosen %q, want the upstream without a long prompt", got)
+	}
+	table.Read(long, 2*time.Second, epoch)
+	if got := choose(t, table, request(epoch, long, short)); got != "long" {
+		t.Errorf("after the prompt was read: %q", got)
+	}
+}
+
+// TestUnreachablePause guards against requests that go to an upstream that has
+// just refused a connection, and against one that is never tried again.
+func TestUnreachablePause(t *testing.T) {
+	table := NewTable()
+	u := up("u", "a", "r")
+	now := epoch
+	for i, want := range []time.Duration{pauseMin, 2 * pauseMin, 4 * pauseMin, pauseMax, pauseMax} {
+		if got := table.Failed(u, true, now); got != want {
+			t.Errorf("failure %d: pause %s, want %s", i, got, want)
+		}
+		if got := choose(t, table, request(now, u)); got != "" {
+			t.Errorf("failure %d: chosen within the pause", i)
+		}
+		now = now.Add(want)
+		if got := choose(t, table, request(now, u)); got != "u" {
+			t.Errorf("failure %d: not tried after the pause", i)
+		}
+	}
+	table.Succeeded(u, now)
+	if got := table.Failed(u, true, now); got != pauseMin {
+		t.Errorf("first failure after a success: pause %s", got)
+	}
+}
+
+// TestGreyUpstream guards against an upstream that fails a part of its requests
+// and still gets its share of them.
+func TestGreyUpstream(t *testing.T) {
+	table := NewTable()
+	grey, well := up("grey", "a", "r"), up("well", "a", "r")
+	now := epoch
+	got := map[string]int{}
+	for i := range 400 {
+		now = now.Add(20 * time.Millisecond)
+		c, _ := table.Choose(request(now, grey, well), float64(i%97)/97)
+		got[c.Upstream.ID]++
+		if c.Upstream == grey && i%2 == 0 {
+			table.Failed(grey, false, now)
+		} else {
+			table.Succeeded(c.Upstream, now)
+		}
+	}
+	if got["grey"] > 100 {
+		t.Errorf("the grey upstream got %d of 400 requests", got["grey"])
+	}
+	if got["grey"] == 0 {
+		t.Error("the grey upstream is never tried again")
+	}
+}
+
+// TestKeeperAgrees guards against nodes that spread one prefix over all
+// upstreams, so that each reads it again, and against one hot prefix that
+// overloads its upstream.
+func TestKeeperAgrees(t *testing.T) {
+	var list []*topology.Upstream
+	for i := range 6 {
+		list = append(list, up(fmt.Sprintf("u%d", i), string(rune('a'+i%2)), "r"))
+	}
+	chosen := map[string]bool{}
+	for node := range 8 {
+		r := request(epoch, list...)
+		r.Affinity = "large/4711"
+		r.FailureDomain = string(rune('a' + node%2))
+		c, _ := NewTable().Choose(r, float64(node)/8)
+		chosen[c.Upstream.ID] = true
+	}
+	if len(chosen) != 1 {
+		t.Errorf("8 idle nodes chose %d upstreams for one prefix", len(chosen))
+	}
+	table := NewTable()
+	spread := map[string]bool{}
+	for range 20 {
+		r := request(epoch, list...)
+		r.Affinity = "large/4711"
+		c, _ := table.Choose(r, 0.3)
+		table.Opened(c.Upstream, 100*time.Millisecond, epoch)
+		spread[c.Upstream.ID] = true
+	}
+	if len(spread) < 3 {
+		t.Errorf("20 requests with one prefix went to %d upstreams", len(spread))
+	}
+}
+
+// TestReading guards against an estimate that waiting time drives up: most
+// samples hold some.
+func TestReading(t *testing.T) {
+	r := NewReading()
+	for i := range 200 {
+		took := 300 * time.Millisecond // 10,000 tokens at the real speed.
+		if i%4 != 0 {
+			took += time.Duration(i%7) * 300 * time.Millisecond
+		}
+		r.Observe("large", 10_000, took)
+	}
+	if got := r.Estimate("large", 10_000); got < 250*time.Millisecond || got > 600*time.Millisecond {
+		t.Errorf("estimate %s, want about 300 ms", got)
+	}
+	r.Observe("small", 100, time.Second)
+	if got := r.Estimate("small", 55_000); got != NewReading().Estimate("small", 55_000) {
+		t.Errorf("a short prompt changed the estimate to %s", got)
+	}
+}
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -135,7 +135,7 @@
 	f.view = f.service.opts.Knowledge.View()
 	config := f.view.Config
 	if config == nil {
-		f.refuse(result.NoConfiguration, unconfiguredRetry, "no configuration has been read yet")
+		f.refuse(result.NoConfiguration, unconfiguredRetry(f.request.Patience), "no configuration has been read yet")
 		return false
 	}
 	r := f.request
@@ -163,9 +163,26 @@
 	return true
 }
 
-// unconfiguredRetry is the pause that a node without a configuration asks for;
-// the first read takes some tens of milliseconds.
-const unconfiguredRetry = 300 * time.Millisecond
+const (
+	// unconfiguredShare is the part of a caller's patience after which it
+	// should come back to a node without a configuration: while the store is
+	// away nobody knows when there will be one, and callers come back once.
+	unconfiguredShare = 10
+	// unconfiguredMin is the least pause; a store that is well is read in some
+	// tens of milliseconds after the start of a node.
+	unconfiguredMin = 600 * time.Millisecond
+	// patienceShare is the part of their patience that callers wait at most.
+	patienceShare = 3
+)
+
+// unconfiguredRetry is the pause that a node without a configuration asks for.
+func unconfiguredRetry(patience time.Duration) time.Duration {
+	pause := max(patience/unconfiguredShare, unconfiguredMin)
+	if patience > 0 {
+		pause = min(pause, patience/patienceShare)
+	}
+	return pause
+}
 
 // pick chooses a service by the weights.
 func pick(targets []topology.WeightedService, random float64) string {
