--- /dev/null
+++ b/pkg/relay/fakes_test.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/cascade"
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/cutover"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/limits"
+	"cassiapin/pkg/placement"
+	"cassiapin/pkg/topology"
+)
+
+// exchange answers sends by a script for each upstream and records them.
+type exchange struct {
+	mu     sync.Mutex
+	sends  []Send
+	script map[string]func(ctx context.Context, s *Send) (*Answer, error)
+	// dead upstreams do not answer the question whether they live.
+	dead map[string]bool
+}
+
+func (e *exchange) Send(ctx context.Context, s *Send) (*Answer, error) {
+	e.mu.Lock()
+	e.sends = append(e.sends, *s)
+	answer := e.script[s.Upstream.ID]
+	e.mu.Unlock()
+	return answer(ctx, s)
+}
+
+func (e *exchange) Alive(_ context.Context, u *topology.Upstream) error {
+	if e.dead[u.ID] {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// upstreams lists the ids of the upstreams in the order of the sends.
+func (e *exchange) upstreams() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ids []string
+	for _, s := range e.sends {
+		ids = append(ids, s.Upstream.ID)
+	}
+	return strings.Join(ids, " ")
+}
+
+// The scripts of upstreams.
+func answers(status int, body string) func(context.Context, *Send) (*Answer, error) {
+	return func(context.Context, *Send) (*Answer, error) {
+		return &Answer{
+			Status: status, Header: http.Header{}, Signed: true, Matches: true, Confidence: -1,
+			Body: io.NopCloser(strings.NewReader(body)),
+		}, nil
+	}
+}
+
+func changed(status int, body string, change func(a *Answer)) func(context.Context, *Send) (*Answer, error) {
+	return func(ctx context.Context, s *Send) (*Answer, error) {
+		a, err := answers(status, body)(ctx, s)
+		change(a)
+		return a, err
+	}
+}
+
+func unreachable(context.Context, *Send) (*Answer, error) {
+	return nil, &SendError{Cause: errors.New("connection refused")}
+}
+
+func lost(context.Context, *Send) (*Answer, error) {
+	return nil, &SendError{Reached: true, Cause: io.ErrUnexpectedEOF}
+}
+
+func silent(ctx context.Context, _ *Send) (*Answer, error) {
+	<-ctx.Done()
+	return nil, &SendError{Reached: true, Cause: ctx.Err()}
+}
+
+// broken is a body that ends with a reset.
+type broken struct{ *strings.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+func (broken) Close() error { return nil }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		b.WriteString(event(id))
+	}
+	return b.String()
+}
+
+// caller records the final answer of a request.
+type caller struct {
+	refusal *Refusal
+	status  int
+	body    strings.Builder
+	heads   int
+	ended   bool
+	aborted bool
+}
+
+func (c *caller) Refuse(r Refusal) { c.refusal = &r }
+func (c *caller) Whole(a *Answer, body []byte) {
+	c.status, c.ended = a.Status, true
+	c.body.Write(body)
+}
+func (c *caller) Begin(a *Answer)         { c.status = a.Status; c.heads++ }
+func (c *caller) Events(raw []byte) error { c.body.Write(raw); return nil }
+func (c *caller) End()                    { c.ended = true }
+func (c *caller) Abort()                  { c.aborted = true }
+
+// node is everything that a service needs of its node.
+type node struct {
+	view *topology.View
+	ids  []string
+}
+
+func (n *node) View() *topology.View               { return n.view }
+func (n *node) Changed() <-chan struct{}           { return nil }
+func (n *node) Nodes() []string                    { return n.ids }
+func (n *node) Self() string                       { return "self" }
+func (n *node) Peers() []string                    { return nil }
+func (n *node) Tell(string, cutover.Message) error { return nil }
+func (n *node) TellAll(cutover.Message) error      { return nil }
+func (n *node) Receive(func(cutover.Message))      {}
+func (n *node) WriteRollout(context.Context, *topology.Rollout, topology.RolloutState) error {
+	return nil
+}
+
+// bed is a service with fakes around it.
+type bed struct {
+	*Service
+	exchange *exchange
+	node     *node
+	config   *topology.Config
+}
+
+func upstream(id, domain, region string) *topology.Upstream {
+	return &topology.Upstream{
+		ID: id, Service: "pool", Address: id, FailureDomain: domain, Region: region, Release: "v1", Slots: 8, Born: 1,
+	}
+}
+
+// newBed has one service with the upstreams a and b, and one route of each
+// kind.
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	config := &topology.Config{
+		Version: 3,
+		Services: map[string]*topology.Service{
+			"pool": {Name: "pool", ColdPerSecond: 10, ColdStart: 3 * time.Second},
+		},
+		Organisations: []*topology.Organisation{{Name: "studio", Keys: []string{"key"}}},
+	}
+	pool := []topology.WeightedService{{Service: "pool", Weight: 1}}
+	for path, r := range map[string]topology.Route{
+		"/lookup/":  {Kind: topology.Repeatable, MaxUpstreams: 2},
+		"/booking/": {Kind: topology.AtMostOnce, MaxUpstreams: 1},
+		"/draft/":   {Kind: topology.EventStream, MaxUpstreams: 3, Resumable: true, Models: []string{"small", "large"}},
+		"/once/":    {Kind: topology.EventStream, MaxUpstreams: 3},
+	} {
+		r.Name, r.Host, r.PathPrefix, r.Targets = path, "h", path, pool
+		r.Timeout, r.TargetLatency, r.GapTarget = 2*time.Second, 400*time.Millisecond, 200*time.Millisecond
+		config.Routes = append(config.Routes, &r)
+	}
+	config.Index()
+	n := &node{ids: []string{"self"}, view: &topology.View{
+		Config:    config,
+		Upstreams: map[string][]*topology.Upstream{"pool": {upstream("a", "d1", "r1"), upstream("b", "d2", "r2")}},
+		Evacuated: map[string]bool{},
+	}}
+	e := &exchange{script: map[string]func(context.Context, *Send) (*Answer, error){}, dead: map[string]bool{}}
+	k := kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))
+	cut := cutover.New(cutover.Options{Store: n, Knowledge: n, Fleet: n, SessionGap: time.Second})
+	s := New(Options{
+		FailureDomain: "d1", Region: "r1", Exchange: e, Knowledge: n, Fleet: n,
+		Retries: limits.NewRetries(limits.RetryOptions{Ratio: 1, Extra: 20, Window: 10 * time.Second}, k.Clock, func() int { return 1 }),
+		Cold:    limits.NewCold(limits.ColdOptions{Factor: 1.5, Extra: 5}, "self"),
+		Table:   placement.NewTable(), Reading: placement.NewReading(), Delay: cascade.NewDelay(), Cutover: cut,
+	})
+	if err := k.Register(cut, s); err != nil {
+		t.Fatal(err)
+	}
+	for _, service := range []kernel.Service{cut, s} {
+		if err := service.Provision(k); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &bed{Service: s, exchange: e, node: n, config: config}
+}
+
+// run serves one request on a path and returns what its caller gets.
+func (b *bed) run(path string, change ...func(r *Request)) *caller {
+	r := &Request{
+		ID: "id", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key",
+		Patience: 2 * time.Second, Received: time.Now(),
+	}
+	for _, fn := range change {
+		fn(r)
+	}
+	c := &caller{}
+	b.Serve(context.Background(), r, c)
+	return c
+}
--- /dev/null
+++ b/pkg/relay/plain_test.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/result"
+	"cassiapin/pkg/topology"
+)
+
+// TestAtMostOnce guards against a second run of a request that may run once,
+// and against a refusal that says "not run" of one that may have run.
+func TestAtMostOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		first  func(context.Context, *Send) (*Answer, error)
+		sends  string
+		status int
+	}{
+		{"answered", answers(200, "ok"), "a", 200},
+		{"application failed", answers(500, "no"), "a", 500},
+		{"answer lost", lost, "a", http.StatusBadGateway},
+		{"unreachable", unreachable, "a b", 200},
+		{"not run", changed(503, "", func(a *Answer) { a.NotRun, a.Signed = true, false }), "a", http.StatusServiceUnavailable},
+		{"wrong instance", changed(421, "", func(a *Answer) { a.WrongInstance, a.Signed = true, false }), "a", http.StatusServiceUnavailable},
+		{"unsigned", changed(200, "x", func(a *Answer) { a.Signed = false }), "a", http.StatusBadGateway},
+		{"another's answer", changed(200, "x", func(a *Answer) { a.Matches = false }), "a", http.StatusBadGateway},
+		{"cut body", changed(200, "", func(a *Answer) { a.Body = broken{strings.NewReader("half")} }), "a", http.StatusBadGateway},
+		{"silent", silent, "a", http.StatusGatewayTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.exchange.script["a"], b.exchange.script["b"] = tc.first, answers(200, "ok")
+			c := b.run("/booking/1", func(r *Request) { r.Patience = 300 * time.Millisecond })
+			got := c.status
+			if c.refusal != nil {
+				got = c.refusal.Status
+			}
+			if got != tc.status || b.exchange.upstreams() != tc.sends {
+				t.Errorf("status %d with sends %q, want %d with %q", got, b.exchange.upstreams(), tc.status, tc.sends)
+			}
+			if c.refusal != nil && c.refusal.Status == http.StatusServiceUnavailable && c.refusal.RetryAfter <= 0 {
+				t.Error("a refusal that says not run names no time to come back")
+			}
+		})
+	}
+}
+
+// TestRepeatable guards against a failure that is passed on although another
+// upstream could have answered, and against more upstreams than the route
+// allows.
+func TestRepeatable(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second func(context.Context, *Send) (*Answer, error)
+		sends         string
+		status        int
+	}{
+		{"application failed", answers(500, "no"), answers(200, "ok"), "a b", 200},
+		{"answer lost", lost, answers(200, "ok"), "a b", 200},
+		{"silent", silent, answers(200, "ok"), "a b", 200},
+		{"cut body", changed(200, "", func(a *Answer) { a.Body = broken{strings.NewReader("half")} }), answers(200, "ok"), "a b", 200},
+		{"encoded", changed(200, "x", func(a *Answer) { a.Encoded = true }), answers(200, "ok"), "a b", 200},
+		{"both failed", answers(500, "no"), answers(500, "no"), "a b", 500},
+		{"both lost", lost, lost, "a b", http.StatusBadGateway},
+		{"both unreachable", unreachable, unreachable, "a b", http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.exchange.script["a"], b.exchange.script["b"] = tc.first, tc.second
+			c := b.run("/lookup/1")
+			got := c.status
+			if c.refusal != nil {
+				got = c.refusal.Status
+			}
+			if got != tc.status || b.exchange.upstreams() != tc.sends {
+				t.Errorf("status %d with sends %q, want %d with %q", got, b.exchange.upstreams(), tc.status, tc.sends)
+			}
+			if got == 200 && c.body.String() != "ok" {
+				t.Errorf("body %q", c.body.String())
+			}
+		})
+	}
+}
+
+// TestAdmission guards against refusals that are not the caller's: a node
+// without a configuration does not know which keys and routes there are.
+func TestAdmission(t *testing.T) {
+	b := newBed(t)
+	b.exchange.script["a"] = answers(200, "ok")
+	if c := b.run("/nowhere/"); c.refusal == nil || c.refusal.Status != 404 {
+		t.Errorf("unknown path: %+v", c.refusal)
+	}
+	if c := b.run("/lookup/1", func(r *Request) { r.Key = "other" }); c.refusal == nil || c.refusal.Status != 401 {
+		t.Errorf("unknown key: %+v", c.refusal)
+	}
+	b.config.Routes[0].Public = true
+	b.node.view = &topology.View{}
+	c := b.run("/lookup/1", func(r *Request) { r.Key = "other"; r.Patience = 20 * time.Second })
+	if c.refusal == nil || c.refusal.Code != result.NoConfiguration || c.refusal.Status != 503 {
+		t.Fatalf("without a configuration: %+v", c.refusal)
+	}
+	if c.refusal.RetryAfter != 2*time.Second {
+		t.Errorf("come back after %s, want a tenth of the caller's patience", c.refusal.RetryAfter)
+	}
+}
+
+// TestGate guards against sends to upstreams that may not get the request.
+func TestGate(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(b *bed)
+		want   string
+	}{
+		{"near", func(*bed) {}, "a"},
+		{"leaving", func(b *bed) { b.up("a").Leaving = true }, "b"},
+		{"evacuated", func(b *bed) { b.node.view.Evacuated["d1"] = true }, "b"},
+		{"region of the route", func(b *bed) {
+			for _, r := range b.config.Routes {
+				r.Regions = []string{"r2"}
+			}
+		}, "b"},
+		{"region of the organisation", func(b *bed) { b.config.Organisations[0].Regions = []string{"r2"} }, "b"},
+		{"both regions", func(b *bed) {
+			b.config.Organisations[0].Regions = []string{"r2"}
+			for _, r := range b.config.Routes {
+				r.Regions = []string{"r1"}
+			}
+		}, ""},
+		{"cold beyond its rate", func(b *bed) {
+			b.up("a").ColdUntil = time.Now().Add(time.Minute)
+			for b.opts.Cold.Take(b.up("a"), 10, b.node.ids, time.Now()) {
+			}
+		}, "b"},
+		{"all leaving", func(b *bed) { b.up("a").Leaving, b.up("b").Leaving = true, true }, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.exchange.script["a"], b.exchange.script["b"] = answers(200, "ok"), answers(200, "ok")
+			tc.change(b)
+			c := b.run("/booking/1")
+			if got := b.exchange.upstreams(); got != tc.want {
+				t.Errorf("sent to %q, want %q", got, tc.want)
+			}
+			if tc.want == "" && (c.refusal == nil || c.refusal.Status != 503) {
+				t.Errorf("refusal %+v, want 503", c.refusal)
+			}
+		})
+	}
+}
+
+func (b *bed) up(id string) *topology.Upstream {
+	for _, u := range b.node.view.Upstreams["pool"] {
+		if u.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// TestRefusedAtOnce guards against a request that is held although no upstream
+// can get it.
+func TestRefusedAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.node.view.Upstreams = nil
+	start := time.Now()
+	c := b.run("/lookup/1")
+	if c.refusal == nil || time.Since(start) > 200*time.Millisecond {
+		t.Errorf("refusal %+v after %s", c.refusal, time.Since(start))
+	}
+}
+
+// TestCallerLeaves guards against a request that goes on after its caller has
+// left.
+func TestCallerLeaves(t *testing.T) {
+	b := newBed(t)
+	b.exchange.script["a"], b.exchange.script["b"] = silent, answers(200, "ok")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	c := &caller{}
+	b.Serve(ctx, &Request{ID: "id", Host: "h", Path: "/lookup/1", Key: "key", Patience: time.Second, Received: time.Now()}, c)
+	if !c.aborted || b.exchange.upstreams() != "a" {
+		t.Errorf("aborted %v, sends %q", c.aborted, b.exchange.upstreams())
+	}
+	if b.Open() != 0 {
+		t.Errorf("%d requests are open", b.Open())
+	}
+}
+
+// TestDeadlinePassedOn guards against an upstream that is given more time than
+// the caller or the route allows.
+func TestDeadlinePassedOn(t *testing.T) {
+	b := newBed(t)
+	b.exchange.script["a"] = answers(200, "ok")
+	b.run("/lookup/1", func(r *Request) { r.Received = r.Received.Add(-500 * time.Millisecond); r.Patience = time.Second })
+	if got := b.exchange.sends[0].Remaining; got > 500*time.Millisecond || got < 400*time.Millisecond {
+		t.Errorf("the upstream is given %s", got)
+	}
+}
+
+var _ io.Closer = broken{}
--- /dev/null
+++ b/pkg/relay/stream_test.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// cut is a stream that breaks off after its text.
+func cut(text string) func(context.Context, *Send) (*Answer, error) {
+	return changed(200, "", func(a *Answer) { a.Body = broken{strings.NewReader(text)} })
+}
+
+// TestStreamResumes guards against events that are missing, doubled or joined
+// when a stream goes on at another upstream.
+func TestStreamResumes(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second func(context.Context, *Send) (*Answer, error)
+		after         int64
+	}{
+		{"cut between events", cut(events(1, 3)), answers(200, events(4, 6)), 3},
+		{"cut within an event", cut(events(1, 3) + "id: 4\ndata: e"), answers(200, events(4, 6)), 3},
+		{"ends within an event", answers(200, events(1, 3)+"id: 4\nda"), answers(200, events(4, 6)), 3},
+		{"repeats events", cut(events(1, 3)), answers(200, events(2, 6)), 3},
+		{"leaves out an event", answers(200, events(1, 2)+event(4)), answers(200, events(3, 6)), 2},
+		{"cut before the first", cut(""), answers(200, events(1, 6)), 0},
+		{"unreachable", unreachable, answers(200, events(1, 6)), 0},
+		{"application failed", answers(500, "no"), answers(200, events(1, 6)), 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.exchange.script["a"], b.exchange.script["b"] = tc.first, tc.second
+			c := b.run("/draft/1")
+			if c.body.String() != events(1, 6) || !c.ended || c.aborted || c.heads != 1 {
+				t.Errorf("got %q, ended %v, aborted %v, %d heads", c.body.String(), c.ended, c.aborted, c.heads)
+			}
+			if got := b.exchange.sends[1].After; got != tc.after {
+				t.Errorf("resumed after %d, want %d", got, tc.after)
+			}
+		})
+	}
+}
+
+// TestStreamNotComplete guards against a broken stream that looks complete,
+// and against a second run of one that may run once.
+func TestStreamNotComplete(t *testing.T) {
+	b := newBed(t)
+	b.exchange.script["a"], b.exchange.script["b"] = cut(events(1, 3)), answers(200, events(1, 6))
+	c := b.run("/once/1")
+	if !c.aborted || c.ended || b.exchange.upstreams() != "a" {
+		t.Errorf("aborted %v, ended %v, sends %q", c.aborted, c.ended, b.exchange.upstreams())
+	}
+	b = newBed(t)
+	b.exchange.script["a"], b.exchange.script["b"] = cut(events(1, 3)), cut(event(4))
+	if c = b.run("/draft/1"); !c.aborted || c.ended || c.body.String() != events(1, 4) {
+		t.Errorf("aborted %v, ended %v, body %q", c.aborted, c.ended, c.body.String())
+	}
+}
+
+// TestStreamContinues guards against a caller's own resume that is lost.
+func TestStreamContinues(t *testing.T) {
+	b := newBed(t)
+	b.exchange.script["a"] = answers(200, events(5, 6))
+	c := b.run("/draft/1", func(r *Request) { r.LastEvent = 4 })
+	if b.exchange.sends[0].After != 4 || c.body.String() != events(5, 6) || !c.ended {
+		t.Errorf("after %d, body %q", b.exchange.sends[0].After, c.body.String())
+	}
+}
+
+// TestCascade guards against an unsure answer of the small model that reaches
+// the caller, and against answers of two models in one stream.
+func TestCascade(t *testing.T) {
+	confident := func(c int) func(context.Context, *Send) (*Answer, error) {
+		return func(ctx context.Context, s *Send) (*Answer, error) {
+			return changed(200, strings.ReplaceAll(events(1, 2), "e", s.Model), func(a *Answer) { a.Confidence = c })(ctx, s)
+		}
+	}
+	free := func(r *Request) { r.Cascade = true }
+	b := newBed(t)
+	b.exchange.script["a"] = confident(10)
+	c := b.run("/draft/1", free)
+	if len(b.exchange.sends) != 2 || b.exchange.sends[0].Model != "small" || b.exchange.sends[1].Model != "large" {
+		t.Fatalf("sends %+v", b.exchange.sends)
+	}
+	if strings.Contains(c.body.String(), "small") || !c.ended {
+		t.Errorf("the caller got %q", c.body.String())
+	}
+	b = newBed(t)
+	b.exchange.script["a"] = confident(90)
+	if b.run("/draft/1", free); len(b.exchange.sends) != 1 {
+		t.Errorf("%d sends for a sure answer", len(b.exchange.sends))
+	}
+	b = newBed(t)
+	b.exchange.script["a"] = confident(10)
+	if b.run("/draft/1"); len(b.exchange.sends) != 1 || b.exchange.sends[0].Model != "" {
+		t.Errorf("the caller's own model is replaced: %+v", b.exchange.sends)
+	}
+}
+
+// paused is a body that goes on after a pause.
+type paused struct {
+	first, second io.Reader
+	pause         time.Duration
+	ctx           context.Context
+}
+
+func (p *paused) Read(b []byte) (int, error) {
+	if n, err := p.first.Read(b); err == nil {
+		return n, nil
+	}
+	select {
+	case <-time.After(p.pause):
+		p.pause = 0
+	case <-p.ctx.Done():
+		return 0, p.ctx.Err()
+	}
+	return p.second.Read(b)
+}
+func (*paused) Close() error { return nil }
+
+// TestSilentUpstream guards against a stream that waits for a dead upstream
+// until its deadline, and against one that is torn off an upstream that is
+// only busy.
+func TestSilentUpstream(t *testing.T) {
+	busy := func(ctx context.Context, _ *Send) (*Answer, error) {
+		return &Answer{
+			Status: 200, Header: http.Header{}, Signed: true, Matches: true, Confidence: -1,
+			Body: &paused{strings.NewReader(event(1)), strings.NewReader(events(2, 3)), 1400 * time.Millisecond, ctx},
+		}, nil
+	}
+	for _, tc := range []struct {
+		name  string
+		dead  bool
+		sends string
+	}{{"busy", false, "a"}, {"dead", true, "a b"}} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			for _, r := range b.config.Routes {
+				r.Timeout, r.GapTarget = 5*time.Second, time.Second
+			}
+			b.exchange.script["a"], b.exchange.script["b"] = busy, answers(200, events(2, 3))
+			b.exchange.dead["a"] = tc.dead
+			c := b.run("/draft/1", func(r *Request) { r.Patience = 5 * time.Second })
+			if c.body.String() != events(1, 3) || !c.ended || b.exchange.upstreams() != tc.sends {
+				t.Errorf("body %q, ended %v, sends %q, want %q", c.body.String(), c.ended, b.exchange.upstreams(), tc.sends)
+			}
+		})
+	}
+}
+
+// FuzzEvents guards against an event that is lost, changed or cut by the
+// splitter, whatever an upstream sends.
+func FuzzEvents(f *testing.F) {
+	f.Add(events(1, 3))
+	f.Add("id: 4\ndata: x\r\n\r\n\n\n: comment\n\nid: nine\n\n")
+	f.Add(strings.Repeat("data: long ", 600) + "\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := newEventReader(strings.NewReader(text))
+		var joined strings.Builder
+		for {
+			raw, _, err := r.next()
+			if err != nil {
+				break
+			}
+			if !strings.HasSuffix(strings.ReplaceAll(string(raw), "\r", ""), "\n\n") {
+				t.Fatalf("an event does not end with a blank line: %q", raw)
+			}
+			joined.Write(raw)
+		}
+		// Blank lines between events may go; nothing else may.
+		if got := strings.Join(strings.Fields(joined.String()), ""); !strings.HasPrefix(strings.Join(strings.Fields(text), ""), got) {
+			t.Fatalf("events %q of %q", got, text)
+		}
+	})
+}
