--- a/pkg/cutover/assign.go
+++ b/pkg/cutover/assign.go
@@ -85,6 +85,10 @@
 
 // useNew decides whether a request under trial goes to the new release.
 func (s *Service) useNew(t *trial, service, session string, now time.Time) bool {
+	// All nodes change the share at the same moment and not at their next
+	// step; a session must not come back to the old release at a node that is
+	// behind.
+	s.setShare(t, now)
 	if t.share == 0 {
 		s.noteSession(service, session, now)
 		return false
@@ -127,8 +131,9 @@
 	return key, float64(key) / math.MaxUint64
 }
 
-// Opened counts a send to a release. The returned function counts its end.
-func (s *Service) Opened(service, release string) (closed func()) {
+// Opened counts a send to a release; movable requests can go on at another
+// upstream if theirs stops. The returned function counts the end of the send.
+func (s *Service) Opened(service, release string, movable bool) (closed func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.trials[service]
@@ -140,11 +145,17 @@
 		t.newSent++
 		return func() {}
 	}
+	firm := 1
+	if movable {
+		firm = 0
+	}
 	t.openOld++
+	t.firmOld += firm
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		t.openOld--
+		t.firmOld -= firm
 	}
 }
 
--- a/pkg/cutover/service.go
+++ b/pkg/cutover/service.go
@@ -62,8 +62,8 @@
 	Tried    uint64   `cbor:"13,keyasint,omitempty"`
 	NewSent  uint64   `cbor:"6,keyasint,omitempty"`
 	Sent     uint64   `cbor:"7,keyasint,omitempty"`
-	// Moved tells that the node has no request at the old release and sends
-	// none.
+	// Moved tells that the node has nothing at the old release that has to end
+	// there, and sends nothing to it.
 	Moved bool `cbor:"8,keyasint,omitempty"`
 	// OldSessions and NewSessions are bindings of sessions.
 	OldSessions []uint64 `cbor:"9,keyasint,omitempty"`
@@ -85,10 +85,13 @@
 }
 
 const (
-	// tick is the period of messages during a trial, and of the schedule.
+	// tick is the period of the schedule, and talk that of messages in ticks:
+	// two a second are enough for a release that has to be stopped within
+	// seconds.
 	tick = 250 * time.Millisecond
+	talk = 2
 	// silentPeer is the age from which a peer's report does not count.
-	silentPeer = 4 * tick
+	silentPeer = 3 * talk * tick
 	// writeTurn is the time that each node leaves to those before it to write
 	// the state of an order.
 	writeTurn = 400 * time.Millisecond
@@ -231,23 +234,16 @@
 			continue
 		}
 		turn := rank(t.order.Created, s.opts.Fleet.Self(), peers)
-		sums := turn < summingNodes
 		if reason := Judge(t.evidence()); reason != "" {
 			s.halt(t, reason)
 		}
-		if share := t.shareAt(now, s.opts.ExposureShare); share != t.share {
-			s.log.Info(eventlog.RolloutShare, "service", t.order.Service, "target", t.order.Target, "share", share,
-				"progress", t.progress(now), "evidence_nodes", len(t.peers)+1)
-			t.share = share
-		}
-		report := s.report(t, now)
-		for _, node := range summing(t.order.Created, s.opts.Fleet.Self(), peers) {
-			messages = append(messages, addressed{to: node, message: report})
-		}
-		if sums || t.halted != "" && !t.told {
-			t.told = t.halted != ""
-			messages = append(messages, addressed{message: s.sum(t, report)})
+		s.setShare(t, now)
+		if t.ticks++; t.ticks%talk == 0 {
+			messages = append(messages, s.talk(t, turn, peers, now)...)
+		} else if t.halted != "" && !t.told {
+			messages = append(messages, addressed{message: s.sum(t, s.report(t, now))})
 		}
+		t.told = t.halted != ""
 		if state, ok := s.due(t, turn, peers, now); ok {
 			t.written = now
 			writes = append(writes, write{t.order, state})
@@ -264,6 +260,32 @@
 	}
 }
 
+// setShare follows the schedule; the caller holds the lock.
+func (s *Service) setShare(t *trial, now time.Time) {
+	share := t.shareAt(now, s.opts.ExposureShare)
+	if share == t.share {
+		return
+	}
+	t.share = share
+	s.log.Info(eventlog.RolloutShare, "service", t.order.Service, "target", t.order.Target, "share", share,
+		"progress", t.progress(now), "evidence_nodes", len(t.peers)+1)
+}
+
+// talk returns the regular messages of a trial: a report to the summing nodes,
+// and the sums if this node is one of them. The first of them sends sums every
+// time and the others every second time, in case the first is cut off.
+func (s *Service) talk(t *trial, turn int, peers []string, now time.Time) []addressed {
+	report := s.report(t, now)
+	var out []addressed
+	for _, node := range summing(t.order.Created, s.opts.Fleet.Self(), peers) {
+		out = append(out, addressed{to: node, message: report})
+	}
+	if turn == 0 || turn < summingNodes && t.ticks%(2*talk) == 0 || t.halted != "" && !t.told {
+		out = append(out, addressed{message: s.sum(t, report)})
+	}
+	return out
+}
+
 // addressed is a message to one node, or to all if to is empty.
 type addressed struct {
 	to      string
@@ -282,7 +304,7 @@
 	m := Message{
 		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created,
 		ElapsedMS: uint64(now.Sub(t.started).Milliseconds()),
-		Halted:    t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.share == 1 && t.openOld == 0,
+		Halted:    t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.moved(now),
 		Evidence: make(Evidence, len(t.own)),
 	}
 	for key, cell := range t.own {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -50,6 +50,7 @@
 
 	members   *membership.Service
 	knowledge *knowledge.Service
+	registry  *registry
 	relay     *relay.Service
 	servers   *servers
 	leaving   atomic.Bool
@@ -77,18 +78,21 @@
 		return nil, err
 	}
 	store := platform.NewStore(s.Store.Address)
+	n.registry = newRegistry(store, s.Host, entry{
+		Fingerprint: peer.Fingerprint(pair.Certificate[0]), PeerAddress: s.PeerAddress(),
+	})
 	transport := peer.NewTransport(peer.Options{
 		Self: peer.NodeID(id), Listen: s.PeerAddress(),
-		Ephemeral: &peer.Ephemeral{Certificate: pair, Trusts: func(string) bool { return true }},
+		Ephemeral: &peer.Ephemeral{Certificate: pair, Trusts: n.registry.trusts},
 	})
 	n.members = membership.New(membership.Options{
 		Self: peer.Member{
 			PeerAddress: s.PeerAddress(), EntryAddress: s.Entry, AdminAddress: s.Ready,
 			Region: s.Region, FailureDomain: s.FailureDomain,
 		},
-		Seeds: s.PeerSeeds(),
+		Seeds: s.PeerSeeds(), SeedSource: n.registry,
 	})
-	nodes := &fleet{members: n.members, msgr: transport}
+	nodes := &fleet{members: n.members, msgr: transport, registry: n.registry}
 	n.knowledge = knowledge.New(knowledge.Options{
 		Store: store, Decoder: platform.Translator{Regions: s.Domains},
 		Peers:   notices{nodes},
@@ -120,7 +124,7 @@
 		return nil, err
 	}
 	return []kernel.Service{
-		timeline.NewService(id, n.kernel.HLC, timelineCapacity), transport, n.members, nodes,
+		timeline.NewService(id, n.kernel.HLC, timelineCapacity), n.registry, transport, n.members, nodes,
 		n.knowledge, cut, n.relay, &readiness{node: n}, n.servers,
 	}, nil
 }
@@ -197,6 +201,7 @@
 	n.leaving.Store(true)
 	n.log.Info(eventlog.NodeLeaving, "open", n.relay.Open(), "grace_ms", grace.Milliseconds())
 	n.members.Leave()
+	n.registry.leave(context.Background())
 	time.Sleep(time.Duration(acceptShare * float64(grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitReserve))
 	defer cancel()
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"time"
@@ -29,7 +30,9 @@
 	kernel.Base
 	members *membership.Service
 	msgr    peer.Messenger
-	log     *slog.Logger
+	// registry knows nodes that this one has not met.
+	registry *registry
+	log      *slog.Logger
 }
 
 func (*fleet) Name() string { return "fleet.nodes" }
@@ -79,9 +82,15 @@
 	return ids
 }
 
-// Nodes implements relay.Fleet.
+// Nodes implements relay.Fleet. A node that has met nobody yet counts those in
+// the store under names of their own, so that its shares are not too large.
 func (f *fleet) Nodes() []string {
 	ids := append(f.Peers(), f.Self())
+	if len(ids) == 1 {
+		for i := 1; i < f.registry.count(); i++ {
+			ids = append(ids, fmt.Sprintf("unmet-%d", i))
+		}
+	}
 	slices.Sort(ids)
 	return ids
 }
@@ -95,7 +104,10 @@
 			n++
 		}
 	}
-	return max(n, 1)
+	if n <= 1 {
+		return f.registry.count()
+	}
+	return n
 }
 
 // Tell implements cutover.Fleet.
--- /dev/null
+++ b/pkg/edge/registry.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/knowledge"
+	"cassiapin/pkg/topology"
+)
+
+// entry is a node's own object in the store. It is named after the host, so
+// that a new process on a host replaces the one before.
+type entry struct {
+	// Fingerprint is that of the certificate that the node made at its start.
+	Fingerprint string `json:"fingerprint"`
+	PeerAddress string `json:"peer_address"`
+}
+
+// entryStore keeps the entries. It is implemented by platform.Store.
+type entryStore interface {
+	List(ctx context.Context, kind knowledge.Kind) ([]knowledge.Object, topology.Revision, error)
+	Put(ctx context.Context, kind knowledge.Kind, name string, spec any) error
+	Delete(ctx context.Context, kind knowledge.Kind, name string) error
+}
+
+const (
+	// registerTimeout bounds the first attempt to register, which the start of
+	// a node waits for: others accept its messages only after it.
+	registerTimeout = 500 * time.Millisecond
+	// registerRetry is the pause between attempts.
+	registerRetry = 500 * time.Millisecond
+	// listTimeout bounds a list, which a handshake may wait for.
+	listTimeout = time.Second
+	// listPause is the shortest time between two lists, so that a stranger who
+	// keeps calling does not cost a call to the store each time.
+	listPause = 500 * time.Millisecond
+)
+
+// registry makes the nodes trust each other: who can write to the store may
+// name a certificate, and only named certificates are accepted. It also knows
+// how many nodes there are before they have been met, and their addresses.
+type registry struct {
+	kernel.Base
+	store entryStore
+	host  string
+	own   entry
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	trusted map[string]bool
+	seeds   []string
+	listed  time.Time
+}
+
+func newRegistry(store entryStore, host string, own entry) *registry {
+	return &registry{store: store, host: host, own: own, trusted: map[string]bool{own.Fingerprint: true}}
+}
+
+func (*registry) Name() string { return "fleet.registry" }
+
+func (r *registry) Provision(k *kernel.Kernel) error {
+	r.log = k.Log
+	return nil
+}
+
+// Run registers the node, again and again until the store has taken it.
+func (r *registry) Run(t *tomb.Tomb) error {
+	ctx, cancel := context.WithTimeout(t.Context(nil), registerTimeout)
+	defer cancel()
+	if r.register(ctx) {
+		return nil
+	}
+	t.Go(func() error {
+		for !r.register(t.Context(nil)) {
+			select {
+			case <-t.Dying():
+				return nil
+			case <-time.After(registerRetry):
+			}
+		}
+		return nil
+	})
+	return nil
+}
+
+func (r *registry) register(ctx context.Context) bool {
+	if err := r.store.Put(ctx, knowledge.Nodes, r.host, r.own); err != nil {
+		r.log.Warn(eventlog.NotRegistered, "host", r.host, "error", err.Error())
+		return false
+	}
+	r.refresh(ctx)
+	r.log.Info(eventlog.Registered, "host", r.host, "fingerprint", r.own.Fingerprint, "nodes", r.count())
+	return true
+}
+
+// leave removes the node's entry.
+func (r *registry) leave(ctx context.Context) {
+	if err := r.store.Delete(ctx, knowledge.Nodes, r.host); err != nil {
+		r.log.Warn(eventlog.NotRegistered, "host", r.host, "leaving", true, "error", err.Error())
+	}
+}
+
+// trusts reports whether a certificate belongs to a node of the fleet.
+func (r *registry) trusts(fingerprint string) bool {
+	if r.knows(fingerprint) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	r.refresh(ctx)
+	known := r.knows(fingerprint)
+	if !known {
+		r.log.Warn(eventlog.PeerRefused, "fingerprint", fingerprint, "known", r.count())
+	}
+	return known
+}
+
+func (r *registry) knows(fingerprint string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trusted[fingerprint]
+}
+
+// count is the number of nodes with an entry, this one included.
+func (r *registry) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.seeds), 1)
+}
+
+// refresh reads the entries, unless that has just been done. What was trusted
+// before stays so until the next process of its host replaces it.
+func (r *registry) refresh(ctx context.Context) {
+	r.mu.Lock()
+	recent := time.Since(r.listed) < listPause
+	if !recent {
+		r.listed = time.Now()
+	}
+	r.mu.Unlock()
+	if recent {
+		return
+	}
+	objects, _, err := r.store.List(ctx, knowledge.Nodes)
+	if err != nil {
+		r.log.Warn(eventlog.StoreLost, "kind", knowledge.Nodes.String(), "error", err.Error())
+		return
+	}
+	trusted := map[string]bool{r.own.Fingerprint: true}
+	var seeds []string
+	for _, o := range objects {
+		var e entry
+		if err := json.Unmarshal(o.Spec, &e); err != nil || e.Fingerprint == "" {
+			r.log.Warn(eventlog.ObjectRefused, "kind", knowledge.Nodes.String(), "object", o.Name, "revision", o.Revision)
+			continue
+		}
+		trusted[e.Fingerprint] = true
+		seeds = append(seeds, e.PeerAddress)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trusted, r.seeds = trusted, seeds
+}
+
+// Seeds implements membership.SeedSource.
+func (r *registry) Seeds(ctx context.Context) ([]string, error) {
+	r.refresh(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.seeds) == 0 {
+		return nil, errors.New("no node has an entry in the store")
+	}
+	return r.seeds, nil
+}
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -34,5 +34,8 @@
 	RolloutVerdict = "rollout verdict"
 	RolloutWritten = "rollout state written"
 	MembersChanged = "members changed"
+	Registered     = "node registered"
+	NotRegistered  = "node entry not written"
+	PeerRefused    = "peer refused"
 	LinesDropped   = "log lines dropped"
 )
--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -131,6 +131,8 @@
 	// contact is the Unix nanosecond of the latest answer by kind.
 	contact [Nodes]atomic.Int64
 	notices [Nodes]chan Notice
+	// progress is written by the duties and read for notices, under mu.
+	progress [Nodes]progress
 }
 
 // New returns a service without knowledge.
@@ -168,6 +170,12 @@
 		s.expire(ctx)
 		return nil
 	})
+	if s.opts.Peers != nil {
+		t.Go(func() error {
+			s.confirm(ctx)
+			return nil
+		})
+	}
 	return nil
 }
 
@@ -250,13 +258,11 @@
 	s := f.service
 	start, before := s.clock.Now(), f.from
 	var changes []Change
-	whole := true
 	switch {
 	case !f.listed:
 		if f.from, err = s.list(ctx, f.kind); err == nil {
 			f.listed, f.latency = true, max(s.clock.Since(start), 1)
 		}
-		whole = false
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
 			f.latency = max(s.clock.Since(start), 1)
@@ -265,12 +271,23 @@
 		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(slackMin, slackFactor*f.latency))
 	}
 	if err == nil {
+		// The store confirms the state of the moment at which it answers; a
+		// watch that misses a change is found by the next call.
 		f.verified = s.clock.Now()
-		f.tell(before, changes, whole)
+		f.publish()
+		f.tell(before, changes)
 	}
 	return err
 }
 
+// publish notes the progress for notices to the others.
+func (f *follower) publish() {
+	s := f.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress[f.kind] = progress{f.from, f.verified}
+}
+
 // wait is how long the store may hold the watch of the kind.
 func (f *follower) wait() time.Duration {
 	share := watchShare
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -8,10 +8,12 @@
 	"cassiapin/pkg/topology"
 )
 
-// Notice tells other nodes what a node that reads the store has read. A notice
-// without changes says that nothing has changed, or only how far the store has
-// come.
+// Notice tells other nodes what a node that reads the store has read: the
+// changes of one kind, or how far it knows all kinds.
 type Notice struct {
+	// Known is set in notices about all kinds.
+	Known []Known `cbor:"7,keyasint,omitempty"`
+
 	Kind Kind `cbor:"1,keyasint"`
 	// From and To are the revisions before and after the changes.
 	From topology.Revision `cbor:"2,keyasint"`
@@ -22,6 +24,17 @@
 	// GraceMS is what is left of the time for entries that lapsed in an
 	// outage of the store.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
+
+	// ageMS is how old the knowledge is; the receiver sets it.
+	ageMS int64
+}
+
+// Known says up to which revision a reader knows a kind, and how long ago the
+// store confirmed that there was nothing newer.
+type Known struct {
+	Kind  Kind              `cbor:"1,keyasint"`
+	Up    topology.Revision `cbor:"2,keyasint"`
+	AgeMS int64             `cbor:"3,keyasint"`
 }
 
 // NoticeChange is one change in a notice.
@@ -48,9 +61,9 @@
 
 const (
 	// readShare is the part of the time in which a change has to take effect
-	// for which a reader's watch waits, and with it the longest time between
-	// its notices.
-	readShare = 0.35
+	// for which a reader's watch waits. It is also the period of its notices
+	// about all kinds, for the kind that is the most urgent.
+	readShare = 0.3
 	// trustShare is the same for the time after which a node that hears no
 	// notice asks the store itself; the rest is for that call.
 	trustShare = 0.64
@@ -62,27 +75,66 @@
 	noticeQueue = 64
 )
 
-// tell sends what a call of a reader has brought.
-func (f *follower) tell(before topology.Revision, changes []Change, whole bool) {
+// tell sends the changes that a call of a reader has brought. What a list has
+// brought is not sent: the others watch from a revision of their own.
+func (f *follower) tell(before topology.Revision, changes []Change) {
 	s := f.service
-	if s.opts.Peers == nil || !s.opts.Peers.Reads() {
+	if len(changes) == 0 || s.opts.Peers == nil || !s.opts.Peers.Reads() {
 		return
 	}
-	n := Notice{Kind: f.kind, From: before, To: f.from, Whole: whole, GraceMS: s.graceLeft().Milliseconds()}
+	n := Notice{Kind: f.kind, From: before, To: f.from, GraceMS: s.graceLeft().Milliseconds()}
 	size := 0
 	for _, c := range changes {
 		size += len(c.Object.Spec) + len(c.Object.Status)
 	}
-	if size > noticeBytes {
-		n.Whole = false
-	} else {
-		n.Changes = noticeChanges(changes)
+	if size <= noticeBytes {
+		n.Whole, n.Changes = true, noticeChanges(changes)
 	}
+	s.send(n)
+}
+
+func (s *Service) send(n Notice) {
 	if err := s.opts.Peers.Tell(n); err != nil {
-		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		s.log.Debug(eventlog.NoticeFailed, "kind", n.Kind.String(), "revision", n.To, "error", err.Error())
+	}
+}
+
+// confirm tells the others regularly how far this node knows the store, as
+// long as it reads for them.
+func (s *Service) confirm(ctx context.Context) {
+	period := s.opts.EffectiveIn[Configurations]
+	for _, d := range s.opts.EffectiveIn {
+		period = min(period, d)
+	}
+	for s.clock.Sleep(ctx, time.Duration(readShare*float64(period))) == nil {
+		if !s.opts.Peers.Reads() {
+			continue
+		}
+		var n Notice
+		for kind := Configurations; kind <= Evacuations; kind++ {
+			if k, ok := s.known(kind); ok {
+				n.Known = append(n.Known, k)
+			}
+		}
+		s.send(n)
 	}
 }
 
+// known returns how far this node knows a kind.
+func (s *Service) known(kind Kind) (Known, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.progress[kind]
+	age := s.clock.Since(p.verified)
+	return Known{Kind: kind, Up: p.from, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
+}
+
+// progress is how far a duty knows its kind.
+type progress struct {
+	from     topology.Revision
+	verified time.Time
+}
+
 func noticeChanges(changes []Change) []NoticeChange {
 	out := make([]NoticeChange, 0, len(changes))
 	for _, c := range changes {
@@ -111,8 +163,17 @@
 	return max(s.tracker.graceUntil.Sub(s.clock.Now()), 0)
 }
 
-// receive queues a notice for the duty of its kind.
+// receive queues a notice for the duties of its kinds.
 func (s *Service) receive(n Notice) {
+	for _, k := range n.Known {
+		s.queue(Notice{Kind: k.Kind, From: k.Up, To: k.Up, Whole: true, ageMS: k.AgeMS})
+	}
+	if len(n.Known) == 0 {
+		s.queue(n)
+	}
+}
+
+func (s *Service) queue(n Notice) {
 	if n.Kind < Configurations || n.Kind > Evacuations {
 		return
 	}
@@ -153,12 +214,14 @@
 	switch {
 	case n.To < f.from:
 		return true // From a reader that is behind; it says nothing new.
-	case n.To > f.from && (!n.Whole || n.From > f.from):
+	case n.To > f.from && (!n.Whole || n.From > f.from || len(n.Changes) == 0):
 		f.latency = 0 // Asks without a wait.
 		return false
 	}
 	s.contact[f.kind].Store(s.clock.Now().UnixNano())
-	f.verified = s.clock.Now()
+	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.verified) {
+		f.verified = at
+	}
 	if n.To == f.from {
 		return true
 	}
