explain: the path of a request from the nodes' logs

Cause: on-call engineers have only logs; a refusal did not say why no upstream could get the request.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -85,7 +85,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
 	root.AddCommand(
-		newNode(), newRoute(), newCheck(), newPublish(), newStatus(), newDomain(), newWithdraw(), newTimeline(), newBills(),
+		newNode(), newRoute(), newExplain(), newCheck(), newPublish(), newStatus(), newDomain(), newWithdraw(), newTimeline(), newBills(),
 		newKeys(), newStandin(), newDemo(), newBench(), newVersion(),
 	)
 	return root
--- /dev/null
+++ b/pkg/explain/explain.go
@@ -0,0 +1,165 @@
+// Package explain finds the path of one request in the log lines of several
+// nodes, with the beliefs that decided its steps.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/eventlog"
+)
+
+// Line is one structured log line.
+type Line struct {
+	Time    time.Time
+	Node    string
+	Message string
+	Fields  map[string]any
+}
+
+// Step is a line about the request and the beliefs behind it.
+type Step struct {
+	Line Line
+	// Beliefs are the latest lines of the same node, before the step, about
+	// the upstream and the configuration that the step names.
+	Beliefs []Line
+	// place is that of the line in the input.
+	place int
+}
+
+// maxLine bounds a log line.
+const maxLine = 1 << 20
+
+// Read returns the structured lines of a log. Text before the JSON object of a
+// line, such as a prefix of a log collector, and lines without one are left
+// out.
+func Read(r io.Reader) ([]Line, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	var lines []Line
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrap(scanner.Err(), "read a log")
+}
+
+func parse(raw []byte) (Line, bool) {
+	start := bytes.IndexByte(raw, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(raw[start:], &fields) != nil {
+		return Line{}, false
+	}
+	l := Line{Fields: fields}
+	l.Message, _ = fields["msg"].(string)
+	l.Node, _ = fields["node"].(string)
+	text, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil || l.Message == "" {
+		return Line{}, false
+	}
+	l.Time = at
+	for _, name := range []string{"msg", "node", "time", "level"} {
+		delete(fields, name)
+	}
+	return l, true
+}
+
+// Request returns the steps of the request with the id, in the order of the
+// nodes' clocks. Lines of one node keep their order, also when its clock was
+// set back.
+func Request(id string, lines []Line) []Step {
+	var steps []Step
+	for i, l := range lines {
+		if l.Fields["request"] == id {
+			steps = append(steps, Step{Line: l, Beliefs: beliefs(lines[:i], l), place: i})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int {
+		if a.Line.Node == b.Line.Node {
+			return a.place - b.place
+		}
+		return a.Line.Time.Compare(b.Line.Time)
+	})
+	return steps
+}
+
+// beliefs returns what the node had last logged about what the step names.
+func beliefs(before []Line, step Line) []Line {
+	var upstream, config, store *Line
+	for i := len(before) - 1; i >= 0; i-- {
+		l := &before[i]
+		if l.Node != step.Node {
+			continue
+		}
+		switch l.Message {
+		case eventlog.UpstreamRead, eventlog.UpstreamGone:
+			if upstream == nil && step.Fields["upstream"] != nil && l.Fields["upstream"] == step.Fields["upstream"] {
+				upstream = l
+			}
+		case eventlog.ConfigTaken:
+			if config == nil {
+				config = l
+			}
+		case eventlog.StoreLost, eventlog.StoreRegained:
+			if store == nil {
+				store = l
+			}
+		}
+	}
+	var out []Line
+	for _, l := range []*Line{config, store, upstream} {
+		if l != nil {
+			out = append(out, *l)
+		}
+	}
+	return out
+}
+
+// Write prints the steps as text. The age of a belief is counted to its step.
+func Write(w io.Writer, steps []Step) error {
+	for _, s := range steps {
+		if _, err := fmt.Fprintf(w, "%s %s %s\n", s.Line.Time.Format(time.RFC3339Nano), s.Line.Node, s.Line); err != nil {
+			return err
+		}
+		for _, b := range s.Beliefs {
+			age := s.Line.Time.Sub(b.Time).Round(time.Millisecond)
+			if _, err := fmt.Fprintf(w, "    known for %s: %s\n", age, b); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// String formats message and fields.
+func (l Line) String() string {
+	var b strings.Builder
+	b.WriteString(l.Message)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if name != "request" {
+			fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+		}
+	}
+	return b.String()
+}
+
+// MarshalJSON gives the line with its time and node.
+func (l Line) MarshalJSON() ([]byte, error) {
+	fields := maps.Clone(l.Fields)
+	fields["time"], fields["node"], fields["msg"] = l.Time, l.Node, l.Message
+	return json.Marshal(fields)
+}
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -167,6 +167,15 @@
 	return pause
 }
 
+// Paused reports whether an upstream is left out because it could not be
+// reached.
+func (t *Table) Paused(u *topology.Upstream, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[u.Incarnation()]
+	return s != nil && now.Before(s.pausedUntil)
+}
+
 // rate is the failure rate, which decays without traffic.
 func (s *state) rate(now time.Time) float64 {
 	if s.failureRate == 0 {
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -17,6 +17,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/knowledge"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/placement"
 	"cassiapin/pkg/topology"
@@ -138,6 +139,7 @@
 
 func (n *node) View() *topology.View               { return n.view }
 func (n *node) Changed() <-chan struct{}           { return nil }
+func (n *node) Age(knowledge.Kind) time.Duration   { return 0 }
 func (n *node) Nodes() []string                    { return n.ids }
 func (n *node) Self() string                       { return "self" }
 func (n *node) Peers() []string                    { return nil }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -14,6 +14,7 @@
 	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/knowledge"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/placement"
 	"cassiapin/pkg/result"
@@ -27,6 +28,8 @@
 type Knowledge interface {
 	View() *topology.View
 	Changed() <-chan struct{}
+	// Age is the time since the knowledge of a kind was last confirmed.
+	Age(kind knowledge.Kind) time.Duration
 }
 
 // Fleet tells which nodes serve callers.
@@ -231,8 +234,12 @@
 // refuse answers that the request has not run and will not.
 func (f *flow) refuse(code result.Code, retryAfter time.Duration, reason string) {
 	f.service.refused.Inc()
-	f.service.log.Warn(eventlog.RequestRefused, f.attrs("code", int(code), "reason", reason,
-		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)...)
+	attrs := f.attrs("code", int(code), "reason", reason,
+		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)
+	if code == result.NoRunner {
+		attrs = append(attrs, f.exclusions()...)
+	}
+	f.service.log.Warn(eventlog.RequestRefused, attrs...)
 	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, RetryAfter: retryAfter, Reason: reason})
 }
 
