--- a/pkg/cutover/assign.go
+++ b/pkg/cutover/assign.go
@@ -174,8 +174,7 @@
 		side = &c.New
 	}
 	if good {
-		side.Good++
-		side.FirstByteMS += uint64(firstByte.Milliseconds())
+		side.answered(firstByte)
 	} else {
 		side.Bad++
 	}
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -61,12 +61,14 @@
 
 const (
 	// readShare is the part of the time in which a change has to take effect
-	// for which a reader's watch waits. It is also the period of its notices
-	// about all kinds, for the kind that is the most urgent.
+	// for which a reader's watch waits.
 	readShare = 0.3
+	// confirmShare is the same for the period of the notices about all kinds,
+	// for the kind that is the most urgent.
+	confirmShare = 0.2
 	// trustShare is the same for the time after which a node that hears no
 	// notice asks the store itself; the rest is for that call.
-	trustShare = 0.64
+	trustShare = 0.72
 	// noticeBytes bounds the changes in a notice; larger ones, as most
 	// configurations are, are read from the store: a flood carries a copy over
 	// many links, and those between regions are paid by volume.
@@ -106,7 +108,7 @@
 	for _, d := range s.opts.EffectiveIn {
 		period = min(period, d)
 	}
-	for s.clock.Sleep(ctx, time.Duration(readShare*float64(period))) == nil {
+	for s.clock.Sleep(ctx, time.Duration(confirmShare*float64(period))) == nil {
 		if !s.opts.Peers.Reads() {
 			continue
 		}
