--- a/pkg/cli/publish.go
+++ b/pkg/cli/publish.go
@@ -16,18 +16,28 @@
 )
 
 func newCheck() *cobra.Command {
-	var node bool
+	var node, route bool
 	cmd := &cobra.Command{
 		Use:   "check PATH...",
 		Short: "Check declarations or settings without a network",
 		Long: `Check reads declaration files, and every file *` + config.FileSuffix + ` in folders,
 joins them and reports each fault with its file and line. With --settings the
-paths are settings files of nodes instead.`,
+paths are settings files of nodes instead, with --route those of nodes on the
+users' platform.`,
 		Example: "  cassiapin check examples/berceuse\n  cassiapin check --settings node.toml",
 		Args:    usage(cobra.MinimumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if node {
-				return checkSettings(cmd, args)
+			switch {
+			case node:
+				return checkSettings(cmd, args, func(file string) error {
+					_, err := loadSettings(file)
+					return err
+				})
+			case route:
+				return checkSettings(cmd, args, func(file string) error {
+					_, err := loadRouter(file)
+					return err
+				})
 			}
 			bundle, err := readDeclarations(args)
 			if err != nil {
@@ -44,12 +54,13 @@
 		},
 	}
 	cmd.Flags().BoolVar(&node, "settings", false, "check settings files of nodes")
+	cmd.Flags().BoolVar(&route, "route", false, "check settings files of nodes on the users' platform")
 	return cmd
 }
 
-func checkSettings(cmd *cobra.Command, files []string) error {
+func checkSettings(cmd *cobra.Command, files []string, check func(file string) error) error {
 	for _, file := range files {
-		if _, err := loadSettings(file); err != nil {
+		if err := check(file); err != nil {
 			return err
 		}
 		fmt.Fprintln(cmd.OutOrStdout(), "valid:", file)
--- a/pkg/cli/route.go
+++ b/pkg/cli/route.go
@@ -35,9 +35,9 @@
 			if file == "" {
 				file = os.Getenv(platform.SettingsVariable)
 			}
-			s, err := settings.LoadRouter(file)
+			s, err := loadRouter(file)
 			if err != nil {
-				return result.Wrap(err, result.SettingsError, result.NotRun, "the settings are invalid")
+				return err
 			}
 			return runRoute(cmd.Context(), file, s)
 		},
@@ -46,6 +46,14 @@
 	return cmd
 }
 
+func loadRouter(file string) (*settings.Router, error) {
+	s, err := settings.LoadRouter(file)
+	if err != nil {
+		return nil, result.Wrap(err, result.SettingsError, result.NotRun, "the settings are invalid")
+	}
+	return s, nil
+}
+
 func runRoute(ctx context.Context, file string, s *settings.Router) error {
 	debug.SetGCPercent(collectAt)
 	var level slog.Level
@@ -83,7 +91,7 @@
 // reload checks the settings file again. Addresses and bounds are fixed for
 // the life of a process, so changes take effect at the next start.
 func reload(file string, log *slog.Logger) {
-	if _, err := settings.LoadRouter(file); err != nil {
+	if _, err := loadRouter(file); err != nil {
 		log.Error(eventlog.SettingsFailed, "file", file, "error", err.Error())
 		return
 	}
--- /dev/null
+++ b/pkg/edge/directory_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cassiapin/pkg/peer"
+)
+
+func member(id, domain, region string, state peer.State, ready bool) peer.Member {
+	return peer.Member{
+		ID: peer.NodeID(id), EntryAddress: id, FailureDomain: domain, Region: region, State: state, Ready: ready,
+	}
+}
+
+// TestNearest guards against callers that are sent to another region, or to a
+// node that is leaving, lost or not ready.
+func TestNearest(t *testing.T) {
+	members := []peer.Member{
+		member("a1", "a", "r", peer.Alive, true), member("a2", "a", "r", peer.Alive, true),
+		member("a3", "a", "r", peer.Leaving, true), member("a4", "a", "r", peer.Suspect, true), member("a5", "a", "r", peer.Alive, false),
+		member("b1", "b", "r", peer.Alive, true), member("b2", "b", "r", peer.Dead, true),
+		member("c1", "c", "q", peer.Alive, true),
+	}
+	for _, tc := range []struct {
+		region, domain string
+		want           []string
+	}{
+		{"r", "a", []string{"a1", "a2"}},
+		{"r", "b", []string{"a1", "a2", "b1"}},
+		{"q", "c", []string{"c1"}},
+		{"q", "d", []string{"c1"}},
+		{"s", "e", []string{"a1", "a2", "b1", "c1"}},
+	} {
+		if diff := cmp.Diff(tc.want, nearest(members, tc.region, tc.domain)); diff != "" {
+			t.Errorf("%s/%s: %s", tc.region, tc.domain, diff)
+		}
+	}
+}
+
+// TestReaders guards against readers that a single failure domain takes away,
+// and against nodes with the same view that choose different ones.
+func TestReaders(t *testing.T) {
+	var members []peer.Member
+	for _, id := range []string{"a1", "a2", "a3", "b1", "b2", "c1", "d1", "e1"} {
+		members = append(members, member(id, id[:1], "r", peer.Alive, true))
+	}
+	chosen := readers(members)
+	domains := map[byte]bool{}
+	for _, id := range chosen {
+		domains[id[0]] = true
+	}
+	if len(chosen) != readingNodes || len(domains) != readingNodes {
+		t.Errorf("readers %v", chosen)
+	}
+	for i, j := 0, len(members)-1; i < j; i, j = i+1, j-1 {
+		members[i], members[j] = members[j], members[i]
+	}
+	if diff := cmp.Diff(chosen, readers(members)); diff != "" {
+		t.Errorf("the order of the members changes the readers: %s", diff)
+	}
+	if got := readers(members[:1]); len(got) != 1 {
+		t.Errorf("a single node reads for itself: %v", got)
+	}
+}
--- /dev/null
+++ b/pkg/eventlog/eventlog_test.go
@@ -0,0 +1,79 @@
+package eventlog
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a writer whose reader has stopped reading, until it is released.
+type stuck struct {
+	mu      sync.Mutex
+	written bytes.Buffer
+	gate    chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.written.Write(p)
+}
+
+// TestNeverBlocks guards against a process that waits for its log, against
+// memory that grows with lines that nobody reads, and against routine lines
+// that displace failures.
+func TestNeverBlocks(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	log := New(out)
+	logger := log.Logger(slog.LevelInfo)
+	start := time.Now()
+	for range 5 * queueLines {
+		logger.Info(RequestDone, "request", "routine")
+	}
+	logger.Warn(RequestFailed, "request", "failure")
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("%d lines took %s while nobody reads", 5*queueLines, took)
+	}
+	if n := len(log.queue); n > queueLines {
+		t.Errorf("%d lines wait, bound %d", n, queueLines)
+	}
+	close(out.gate)
+	for end := time.Now().Add(5 * time.Second); len(log.queue) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	logger.Info(NodeStopped)
+	log.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	text := out.written.String()
+	if !strings.Contains(text, `"request":"failure"`) {
+		t.Error("the failure is not in the log")
+	}
+	if !regexp.MustCompile(`"msg":"` + LinesDropped + `","lines":\d+`).MatchString(text) {
+		t.Error("the dropped lines are not counted in the log")
+	}
+}
+
+// TestVocabulary guards against a line that the page for on-call engineers does
+// not explain.
+func TestVocabulary(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := os.ReadFile("events.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range regexp.MustCompile(`= "([^"]+)"`).FindAllStringSubmatch(string(source), -1) {
+		if !strings.Contains(string(page), "`"+m[1]+"`") {
+			t.Errorf("docs/OPERATIONS.md does not explain the line %q", m[1])
+		}
+	}
+}
