--- a/pkg/cutover/assign.go
+++ b/pkg/cutover/assign.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
+	"cassiapin/pkg/spread"
 	"cassiapin/pkg/topology"
 )
 
@@ -125,9 +127,9 @@
 // nodes agree.
 func (s *Service) place(service, session string) (key uint64, place float64) {
 	if session == "" {
-		return 0, randomFloat()
+		return 0, rand.Float64()
 	}
-	key = hash(service + "\x00" + session)
+	key = spread.Hash(service, session)
 	return key, float64(key) / math.MaxUint64
 }
 
--- a/pkg/cutover/service.go
+++ b/pkg/cutover/service.go
@@ -15,6 +15,7 @@
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/result"
+	"cassiapin/pkg/spread"
 	"cassiapin/pkg/topology"
 )
 
@@ -340,7 +341,7 @@
 func summing(created topology.Revision, self string, peers []string) []string {
 	all := append([]string{self}, peers...)
 	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Compare(cohort(uint64(created), a), cohort(uint64(created), b))
+		return cmp.Compare(turnOf(created, a), turnOf(created, b))
 	})
 	return slices.DeleteFunc(all[:min(summingNodes, len(all))], func(n string) bool { return n == self })
 }
@@ -370,12 +371,17 @@
 	return 0, false
 }
 
+// turnOf orders the nodes, differently for each order.
+func turnOf(created topology.Revision, node string) uint64 {
+	return spread.Mix(spread.Hash(node) ^ uint64(created))
+}
+
 // rank is the place of this node in the order in which nodes write.
 func rank(created topology.Revision, self string, peers []string) int {
 	place := 0
-	own := cohort(uint64(created), self)
+	own := turnOf(created, self)
 	for _, p := range peers {
-		if cohort(uint64(created), p) < own {
+		if turnOf(created, p) < own {
 			place++
 		}
 	}
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -69,10 +69,10 @@
 	// trustShare is the same for the time after which a node that hears no
 	// notice asks the store itself; the rest is for that call.
 	trustShare = 0.72
-	// noticeBytes bounds the changes in a notice; larger ones, as most
-	// configurations are, are read from the store: a flood carries a copy over
-	// many links, and those between regions are paid by volume.
-	noticeBytes = 2 << 10
+	// noticeBytes bounds the changes in a notice. Configurations are never in
+	// one: a flood carries a copy over many links, and those between regions
+	// are paid by volume, so each node reads them from the store.
+	noticeBytes = 16 << 10
 	// noticeQueue bounds the notices of a kind that wait.
 	noticeQueue = 64
 )
@@ -89,7 +89,7 @@
 	for _, c := range changes {
 		size += len(c.Object.Spec) + len(c.Object.Status)
 	}
-	if size <= noticeBytes {
+	if f.kind != Configurations && size <= noticeBytes {
 		n.Whole, n.Changes = true, noticeChanges(changes)
 	}
 	s.send(n)
--- a/pkg/limits/cold.go
+++ b/pkg/limits/cold.go
@@ -1,10 +1,10 @@
 package limits
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
+	"cassiapin/pkg/spread"
 	"cassiapin/pkg/topology"
 )
 
@@ -74,9 +74,9 @@
 	chosen := int(coldMargin*(c.opts.Factor*perSecond+c.opts.Extra) - perSecond)
 	chosen = min(max(chosen, 1), max(len(nodes), 1))
 	rank := 0
-	own := score(u.ID, c.self)
+	own := spread.Hash(u.ID, c.self)
 	for _, n := range nodes {
-		if n != c.self && score(u.ID, n) > own {
+		if n != c.self && spread.Hash(u.ID, n) > own {
 			rank++
 		}
 	}
@@ -86,18 +86,6 @@
 	return perSecond / float64(chosen)
 }
 
-func score(upstream, node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(upstream)) // A hash does not fail.
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(node))
-	// FNV alone leaves the high bits of similar names alike.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 // maxCold bounds the remembered upstreams.
 const maxCold = 1024
 
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"cassiapin/pkg/spread"
 	"cassiapin/pkg/topology"
 )
 
@@ -108,20 +109,6 @@
 	return until
 }
 
-// affinityHash makes all nodes agree on the keeper of a prefix.
-func affinityHash(key, upstream string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	h := uint64(offset)
-	for _, part := range [2]string{key, upstream} {
-		for i := 0; i < len(part); i++ {
-			h = (h ^ uint64(part[i])) * prime
-		}
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
-
 // keeper returns the upstream that keeps the request's prefix: the first by
 // rendezvous hashing among those that are nearest.
 func (t *Table) keeper(r Request) *topology.Upstream {
@@ -139,7 +126,7 @@
 		if u.Region != r.Region {
 			d = 1
 		}
-		h := affinityHash(r.Affinity, u.ID)
+		h := spread.Hash(r.Affinity, u.ID)
 		if best == nil || d < nearest || d == nearest && h > bestHash {
 			best, bestHash, nearest = u, h, d
 		}
