--- a/pkg/cutover/assign.go
+++ b/pkg/cutover/assign.go
@@ -1,8 +1,10 @@
 package cutover
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cassiapin/pkg/spread"
@@ -16,6 +18,31 @@
 	// not are releases that are not allowed.
 	not      map[string]bool
 	fallback *Assignment
+	// share is the part of the upstreams that share the requests, zero for
+	// all of them.
+	share float64
+	order topology.Revision
+}
+
+// Among returns the upstreams that the request may be sent to. While a small
+// share of the requests tries a release, it goes to the same share of its
+// upstreams, so that they carry the load that they are meant for: a release may
+// fail only under load. All nodes take the same ones, and others in their
+// place when those cannot be used.
+func (a *Assignment) Among(upstreams []*topology.Upstream, usable func(u *topology.Upstream) bool) []*topology.Upstream {
+	if a.share == 0 {
+		return upstreams
+	}
+	var candidates []*topology.Upstream
+	for _, u := range upstreams {
+		if u.Release == a.only && usable(u) {
+			candidates = append(candidates, u)
+		}
+	}
+	slices.SortFunc(candidates, func(x, y *topology.Upstream) int {
+		return cmp.Compare(spread.Mix(spread.Hash(x.ID)^uint64(a.order)), spread.Mix(spread.Hash(y.ID)^uint64(a.order)))
+	})
+	return candidates[:min(max(int(a.share*float64(len(candidates))), 1), len(candidates))]
 }
 
 // Permits reports whether an upstream of the release may get the request.
@@ -55,7 +82,11 @@
 		return old
 	}
 	if s.useNew(t, service, session, now) {
-		return &Assignment{only: target, fallback: old}
+		a := &Assignment{only: target, fallback: old}
+		if t.share < 1 {
+			a.share, a.order = t.share, t.order.Created
+		}
+		return a
 	}
 	if t.progress(now) >= firstHalf && t.halted == "" {
 		// Moving to the new release is allowed from here on.
@@ -161,24 +192,41 @@
 	}
 }
 
+// Late counts a request that was given up without an answer.
+func (s *Service) Late(service, release, cell string, waited time.Duration) {
+	s.count(service, release, cell, func(c, _ *Count) { c.late(waited) })
+}
+
 // Answered counts an answer of the application: whether it was good, and the
 // time to its first byte.
 func (s *Service) Answered(service, release, cell string, good bool, firstByte time.Duration) {
+	s.count(service, release, cell, func(c, _ *Count) {
+		if good {
+			c.answered(firstByte)
+		} else {
+			c.Bad++
+		}
+	})
+}
+
+// Paced counts a stream with the mean time between its events.
+func (s *Service) Paced(service, release, cell string, gap time.Duration) {
+	s.count(service, release, cell, func(_, pace *Count) { pace.answered(gap) })
+}
+
+// count changes the counts of a cell while a trial runs.
+func (s *Service) count(service, release, cell string, change func(c, pace *Count)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.trials[service]
 	if t == nil || t.order.State.Final() {
 		return
 	}
-	c := t.own[cell]
-	side := &c.Old
+	pair := t.own[cell]
 	if release == t.order.Target {
-		side = &c.New
-	}
-	if good {
-		side.answered(firstByte)
+		change(&pair.New, &pair.NewPace)
 	} else {
-		side.Bad++
+		change(&pair.Old, &pair.OldPace)
 	}
-	t.own[cell] = c
+	t.own[cell] = pair
 }
--- a/pkg/cutover/service.go
+++ b/pkg/cutover/service.go
@@ -54,6 +54,7 @@
 	Sum     bool              `cbor:"12,keyasint,omitempty"`
 	Service string            `cbor:"1,keyasint"`
 	Created topology.Revision `cbor:"2,keyasint"`
+	Target  string            `cbor:"14,keyasint"`
 	// ElapsedMS is the time since the order by this node's knowledge.
 	ElapsedMS uint64 `cbor:"3,keyasint"`
 	Halted    string `cbor:"4,keyasint,omitempty"`
@@ -189,7 +190,7 @@
 	s.synced = s.synced || len(view.Upstreams) > 0
 	for service, r := range view.Rollouts {
 		t := s.trials[service]
-		if t == nil || t.order.Created != r.Created {
+		if t == nil || !sameOrder(t.order, r) {
 			t = newTrial(r, now)
 			s.trials[service] = t
 			s.log.Info(eventlog.RolloutStarted, "service", service, "target", r.Target, "state", r.State.String(),
@@ -215,8 +216,8 @@
 		return
 	}
 	t.halted, t.share = reason, 0
-	s.log.Warn(eventlog.RolloutVerdict, "service", t.order.Service, "target", t.order.Target, "verdict", "bad",
-		"reason", reason, "evidence_nodes", len(t.peers)+1, "elapsed_ms", s.clock.Since(t.started).Milliseconds())
+	s.log.Warn(eventlog.RolloutVerdict, append([]any{"service", t.order.Service, "target", t.order.Target, "verdict", "bad"},
+		append(t.attrs(), "reason", reason, "elapsed_ms", s.clock.Since(t.started).Milliseconds())...)...)
 }
 
 // step moves the trials on, tells the peers and writes states.
@@ -268,8 +269,9 @@
 		return
 	}
 	t.share = share
-	s.log.Info(eventlog.RolloutShare, "service", t.order.Service, "target", t.order.Target, "share", share,
-		"progress", t.progress(now), "evidence_nodes", len(t.peers)+1)
+	s.log.Info(eventlog.RolloutShare, append([]any{
+		"service", t.order.Service, "target", t.order.Target, "share", share, "progress", t.progress(now),
+	}, t.attrs()...)...)
 }
 
 // talk returns the regular messages of a trial: a report to the summing nodes,
@@ -303,7 +305,7 @@
 // report is the message with this node's own counts.
 func (s *Service) report(t *trial, now time.Time) Message {
 	m := Message{
-		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created,
+		Node: s.opts.Fleet.Self(), Service: t.order.Service, Created: t.order.Created, Target: t.order.Target,
 		ElapsedMS: uint64(now.Sub(t.started).Milliseconds()),
 		Halted:    t.halted, NewSent: t.newSent, Sent: t.sent, Moved: t.moved(now),
 		Evidence: make(Evidence, len(t.own)),
@@ -412,7 +414,7 @@
 		s.sessions.learn(key, true, now)
 	}
 	t := s.trials[m.Service]
-	if t == nil || t.order.Created != m.Created {
+	if t == nil || t.order.Created != m.Created || t.order.Target != m.Target {
 		return
 	}
 	if m.Sum {
--- a/pkg/cutover/service_test.go
+++ b/pkg/cutover/service_test.go
@@ -205,6 +205,10 @@
 			"a": {Old: timed(50, 100), New: timed(4, 900)}, "b": {Old: timed(50, 1000), New: timed(4, 9000)},
 			"c": {Old: timed(50, 10), New: timed(4, 90)},
 		}, true},
+		{"slow, mostly given up", Evidence{"a": {Old: timed(50, 100), New: given(plus(timed(2, 900), Count{}), 8, 1500)}}, true},
+		{"slow events only", Evidence{"a": {
+			Old: timed(50, 100), New: timed(10, 100), OldPace: timed(50, 40), NewPace: timed(10, 320),
+		}}, true},
 		{"a little slow", Evidence{"a": {Old: timed(50, 100), New: timed(40, 250)}}, false},
 		{"slow by one long prompt", Evidence{"a": {Old: timed(50, 100), New: plus(timed(6, 100), timed(1, 5000))}}, false},
 	} {
@@ -221,6 +225,13 @@
 	return c
 }
 
+func given(c Count, late int, ms int) Count {
+	for range late {
+		c.late(time.Duration(ms) * time.Millisecond)
+	}
+	return c
+}
+
 func plus(a, b Count) Count {
 	a.add(b)
 	return a
@@ -256,6 +267,58 @@
 	}
 }
 
+// TestNextOrder guards against an order that is written into the object of the
+// last one and takes over its time and its evidence: all traffic would move at
+// once.
+func TestNextOrder(t *testing.T) {
+	w := play(1, 4, 0, &traffic{}, nil)
+	if len(w.finals) != 1 {
+		t.Fatalf("final states of the first order %v", w.finals)
+	}
+	w.order.Target, w.order.State = "v3", topology.RolloutRequested
+	w.order.Revision++
+	for range 10 {
+		w.advance()
+	}
+	new := 0
+	for i := range 200 {
+		n := w.nodes[i%4]
+		if n.service.Assign("pool", fmt.Sprint(i), w.clock.Now()).Permits("v3") {
+			new++
+		}
+	}
+	if new > 0 {
+		t.Errorf("%d of 200 sessions use the next release 0.25 s after its order", new)
+	}
+	if len(w.finals) != 1 {
+		t.Errorf("the next order has the final state %v", w.finals[1])
+	}
+}
+
+// TestAmong guards against a trial that spreads so thin over the new upstreams
+// that a release which fails under load is not noticed.
+func TestAmong(t *testing.T) {
+	var all []*topology.Upstream
+	for i := range 9 {
+		all = append(all, &topology.Upstream{ID: fmt.Sprintf("n%d", i), Release: "v2"}, &topology.Upstream{ID: fmt.Sprintf("o%d", i), Release: "v1"})
+	}
+	down := map[string]bool{}
+	usable := func(u *topology.Upstream) bool { return !down[u.ID] }
+	a := &Assignment{only: "v2", share: 0.1, order: 7}
+	first := a.Among(all, usable)
+	if len(first) != 1 || first[0].Release != "v2" {
+		t.Fatalf("a tenth of the requests goes to %v", first)
+	}
+	down[first[0].ID] = true
+	if second := a.Among(all, usable); len(second) != 1 || second[0] == first[0] {
+		t.Errorf("in place of an upstream that is down: %v", second)
+	}
+	a.share = 0.65
+	if got := a.Among(all, func(*topology.Upstream) bool { return true }); len(got) != 5 {
+		t.Errorf("0.65 of the requests go to %d of 9 upstreams", len(got))
+	}
+}
+
 // TestSettled guards against requests to a release that appears before its
 // order is known, and to one that was rolled back.
 func TestSettled(t *testing.T) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/cutover"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/placement"
@@ -102,7 +103,7 @@
 	now := s.clock.Now()
 	assignment := s.opts.Cutover.Assign(f.target, f.request.Session, now)
 	for {
-		u := f.chooseAmong(model, now, assignment.Permits)
+		u := f.chooseAmong(model, now, assignment)
 		if u != nil || !assignment.HasFallback() {
 			return u
 		}
@@ -110,22 +111,24 @@
 	}
 }
 
-func (f *flow) chooseAmong(model string, now time.Time, permits func(release string) bool) *topology.Upstream {
+func (f *flow) chooseAmong(model string, now time.Time, assignment *cutover.Assignment) *topology.Upstream {
 	s := f.service
 	nodes := s.opts.Fleet.Nodes()
 	service := f.view.Config.Services[f.target]
+	allowed := func(u *topology.Upstream) bool {
+		return !u.Leaving && !f.view.Evacuated[u.FailureDomain] && assignment.Permits(u.Release) && f.inRegions(u.Region)
+	}
 	request := placement.Request{
-		Upstreams:     f.view.Upstreams[f.target],
+		Upstreams: assignment.Among(f.view.Upstreams[f.target], func(u *topology.Upstream) bool {
+			return allowed(u) && !f.tried[u.Incarnation()] && !s.opts.Table.Paused(u, now)
+		}),
 		Affinity:      f.affinity(model),
 		FailureDomain: s.opts.FailureDomain,
 		Region:        s.opts.Region,
 		Tried:         f.tried,
 		Now:           now,
 		Usable: func(u *topology.Upstream, coldUntil time.Time) bool {
-			if u.Leaving || f.view.Evacuated[u.FailureDomain] || !permits(u.Release) || !f.inRegions(u.Region) {
-				return false
-			}
-			return !f.cold(u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now)
+			return allowed(u) && (!f.cold(u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now))
 		},
 	}
 	for {
@@ -240,6 +243,12 @@
 	s.opts.Cutover.Answered(f.target, a.upstream.Release, f.route.Name+"/"+f.model, good, s.clock.Since(a.started))
 }
 
+// gaveUp tells the cutover of an attempt that has no answer after a while.
+func (f *flow) gaveUp(a *attempt) {
+	s := f.service
+	s.opts.Cutover.Late(f.target, a.upstream.Release, f.route.Name+"/"+f.model, s.clock.Since(a.started))
+}
+
 // failure says why an attempt did not serve the request.
 type failure struct {
 	code   result.Code
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -62,7 +62,11 @@
 	a, err := f.send(ctx, u, "", 0)
 	defer a.close()
 	if err != nil {
-		return nil, nil, sendFailure(err, over())
+		gaveUp := over()
+		if gaveUp || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			f.gaveUp(a)
+		}
+		return nil, nil, sendFailure(err, gaveUp)
 	}
 	if fail, ok := headFailure(a.answer); !ok {
 		return nil, nil, fail
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -69,6 +70,9 @@
 	a, err := f.send(ctx, u, f.model, f.delivered)
 	defer a.close()
 	if err != nil {
+		if watch.fired() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			f.gaveUp(a)
+		}
 		return streamFailed, sendFailure(err, watch.fired())
 	}
 	if fail, ok := headFailure(a.answer); !ok {
@@ -90,6 +94,8 @@
 		return streamEscalated, failure{}
 	}
 	events := newEventReader(a.answer.Body)
+	pace := pace{start: s.clock.Now()}
+	defer func() { f.paced(a, pace) }()
 	for {
 		raw, id, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -102,6 +108,7 @@
 		}
 		watch.heard()
 		f.firstEvent(a)
+		pace.event(s.clock.Now())
 		if id >= 0 && id <= f.delivered && f.delivered > 0 {
 			continue // The upstream repeats events that the caller has.
 		}
@@ -118,6 +125,29 @@
 	}
 }
 
+// pace follows the events of one attempt.
+type pace struct {
+	start, last time.Time
+	events      int
+}
+
+func (p *pace) event(now time.Time) {
+	p.last = now
+	p.events++
+}
+
+// paceEvents is the number of events that say something of the time between
+// them.
+const paceEvents = 3
+
+// paced tells the cutover how fast the events of an attempt came.
+func (f *flow) paced(a *attempt, p pace) {
+	if p.events >= paceEvents {
+		gap := p.last.Sub(p.start) / time.Duration(p.events)
+		f.service.opts.Cutover.Paced(f.target, a.upstream.Release, f.route.Name+"/"+f.model, gap)
+	}
+}
+
 // firstEvent notes that the upstream has read the prompt.
 func (f *flow) firstEvent(a *attempt) {
 	if a.reading == 0 {
