--- /dev/null
+++ b/pkg/knowledge/follower.go
@@ -0,0 +1,142 @@
+package knowledge
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/topology"
+)
+
+const (
+	// watchShare is the part of the time in which a change has to take effect
+	// for which the store may hold a watch. A watch can miss changes without a
+	// sign of it until the next call; the rest of the time is for that call
+	// and for a list.
+	watchShare = 0.5
+	// slackMin is how much longer than that an answer may take, and
+	// slackFactor the same as a multiple of the time that the store took to
+	// answer at once, for a store that is slow.
+	slackMin    = 600 * time.Millisecond
+	slackFactor = 4
+	// After a failure the store is asked for changes without a wait. callMin
+	// and callMax bound that call; the time doubles with each failure, so that
+	// a store that is slow is heard and one that is back is found soon.
+	callMin = 500 * time.Millisecond
+	callMax = 1500 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call; the pause
+	// doubles and is spread over half of its length.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// coalesce is the shortest time between two watches of one kind, so that a
+	// series of changes does not cost one call each at every node.
+	coalesce = 50 * time.Millisecond
+)
+
+// follower is the state of one kind's duty.
+type follower struct {
+	service *Service
+	kind    Kind
+	// from is the revision up to which all changes are known; it counts only
+	// once listed is set.
+	from   topology.Revision
+	listed bool
+	// latency is how long the store took to answer at once; zero asks for a
+	// call without a wait, which measures it.
+	latency     time.Duration
+	callTimeout time.Duration
+	pause       time.Duration
+	failedSince time.Time
+	// verified is when the state was last known to be the newest.
+	verified time.Time
+}
+
+// follow lists and watches one kind until ctx ends.
+func (s *Service) follow(ctx context.Context, kind Kind) {
+	f := &follower{service: s, kind: kind, callTimeout: callMin, pause: retryMin}
+	for ctx.Err() == nil {
+		f.listen(ctx)
+		start := s.clock.Now()
+		err := f.call(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			f.answered()
+			if rest := coalesce - s.clock.Since(start); rest > 0 {
+				_ = s.clock.Sleep(ctx, rest) // Ends early only with ctx, which the loop checks.
+			}
+		case errors.Is(err, ErrHistoryLost):
+			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", f.from)
+			f.listed = false
+		default:
+			f.failed(err, start)
+			_ = s.clock.Sleep(ctx, f.pause/2+time.Duration(rand.Int63n(int64(f.pause))))
+			f.pause = min(2*f.pause, retryMax)
+		}
+	}
+}
+
+// call makes the next call of the duty.
+func (f *follower) call(ctx context.Context) (err error) {
+	s := f.service
+	start, before := s.clock.Now(), f.from
+	var changes []Change
+	switch {
+	case !f.listed:
+		if f.from, err = s.list(ctx, f.kind); err == nil {
+			f.listed, f.latency = true, max(s.clock.Since(start), 1)
+		}
+	case f.latency == 0:
+		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
+			f.latency = max(s.clock.Since(start), 1)
+		}
+	default:
+		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(slackMin, slackFactor*f.latency))
+	}
+	if err == nil {
+		// The store confirms the state of the moment at which it answers; a
+		// watch that misses a change is found by the next call.
+		f.verified = s.clock.Now()
+		f.publish()
+		f.tell(before, changes)
+	}
+	return err
+}
+
+// publish notes the progress for notices to the others.
+func (f *follower) publish() {
+	s := f.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress[f.kind] = progress{f.from, f.verified}
+}
+
+// wait is how long the store may hold the watch of the kind.
+func (f *follower) wait() time.Duration {
+	share := watchShare
+	if f.service.opts.Peers != nil && f.service.opts.Peers.Reads() {
+		share = readShare
+	}
+	return time.Duration(share * float64(f.service.opts.EffectiveIn[f.kind]))
+}
+
+func (f *follower) answered() {
+	if !f.failedSince.IsZero() {
+		f.service.log.Info(eventlog.StoreRegained, "kind", f.kind.String(), "away_ms", f.service.clock.Since(f.failedSince).Milliseconds())
+	}
+	f.failedSince, f.pause, f.callTimeout = time.Time{}, retryMin, callMin
+}
+
+func (f *follower) failed(err error, start time.Time) {
+	s := f.service
+	if f.failedSince.IsZero() {
+		f.failedSince = start
+		s.log.Warn(eventlog.StoreLost, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		s.update(func(time.Time) bool { s.tracker.StoreLost(f.kind, start); return false })
+	}
+	f.latency, f.callTimeout = 0, min(2*f.callTimeout, callMax)
+}
