cli: notice a changed settings file without a signal

Change: the file is looked at once a second and checked; the log level changes at once, the rest at the next start.

--- a/pkg/cli/route.go
+++ b/pkg/cli/route.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -56,11 +57,12 @@
 
 func runRoute(ctx context.Context, file string, s *settings.Router) error {
 	debug.SetGCPercent(collectAt)
-	var level slog.Level
+	level := &slog.LevelVar{}
 	_ = level.UnmarshalText([]byte(s.Log.Level)) // Checked with the settings.
 	log := eventlog.New(os.Stdout)
 	defer log.Close()
 	logger := log.Logger(level)
+	current := &settingsFile{name: file, read: modified(file), level: level, log: logger}
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	n, err := edge.New(s, logger)
@@ -70,6 +72,8 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
 	var failure error
 	for running := true; running; {
 		select {
@@ -79,7 +83,11 @@
 			logger.Error("a service failed", "error", failure.Error())
 			running = false
 		case <-hangup:
-			reload(file, logger)
+			current.reload()
+		case <-look.C:
+			if at := modified(file); !at.Equal(current.read) {
+				current.reload()
+			}
 		}
 	}
 	if err := n.Stop(); err != nil {
@@ -88,12 +96,38 @@
 	return failure
 }
 
-// reload checks the settings file again. Addresses and bounds are fixed for
-// the life of a process, so changes take effect at the next start.
-func reload(file string, log *slog.Logger) {
-	if _, err := loadRouter(file); err != nil {
-		log.Error(eventlog.SettingsFailed, "file", file, "error", err.Error())
+// settingsInterval is the period at which the settings file is looked at; it may
+// change without a signal.
+const settingsInterval = time.Second
+
+// settingsFile is the settings file of a running process.
+type settingsFile struct {
+	name string
+	// read is when the file that was read last had been modified.
+	read  time.Time
+	level *slog.LevelVar
+	log   *slog.Logger
+}
+
+// modified returns when the file was modified last, zero if that is unknown.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings again. Only the log level changes at once:
+// addresses and bounds are fixed for the life of a process and change at its
+// next start. Settings that are invalid change nothing.
+func (f *settingsFile) reload() {
+	f.read = modified(f.name)
+	s, err := loadRouter(f.name)
+	if err != nil {
+		f.log.Error(eventlog.SettingsFailed, "file", f.name, "error", err.Error())
 		return
 	}
-	log.Info(eventlog.SettingsTaken, "file", file)
+	_ = f.level.UnmarshalText([]byte(s.Log.Level)) // Checked with the settings.
+	f.log.Info(eventlog.SettingsTaken, "file", f.name, "log_level", s.Log.Level)
 }
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -44,8 +44,8 @@
 	return l
 }
 
-// Logger returns a logger of JSON lines at the level.
-func (l *Log) Logger(level slog.Level) *slog.Logger {
+// Logger returns a logger of JSON lines from the level on.
+func (l *Log) Logger(level slog.Leveler) *slog.Logger {
 	routine := slog.NewJSONHandler(&sink{log: l, room: queueLines - reserveLines}, &slog.HandlerOptions{Level: level})
 	urgent := slog.NewJSONHandler(&sink{log: l, room: queueLines}, &slog.HandlerOptions{Level: level})
 	return slog.New(&split{routine: routine, urgent: urgent})
