test/integration: wait until the peers have seen the death of a node

The trace: from the configuration in force to the stop of the world 4.7 s passed, and peers see a death after 4 to 5 s; the dead node had written its bills itself, so the wait for them ended at once and the load began while the peers still named the dead node. Change: the test waits for what its comment says, then sends the load; the checks are the same.

--- a/test/integration/process_faults_test.go
+++ b/test/integration/process_faults_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cassiapin/pkg/admin"
 	"cassiapin/pkg/workload"
 )
 
@@ -34,6 +35,11 @@
 		}
 		return true
 	})
+	// The dead node may have written its bills itself just before. Until its
+	// peers see its death they name it to callers.
+	w.eventually(10*time.Second, "the peers have seen the death", func() bool {
+		return w.everywhere(func(s admin.Status) bool { return aliveAndReady(s) == len(w.running()) })
+	})
 	w.allAnswered(w.load(workload.Options{Seed: 5, Rate: 20, Duration: 2 * time.Second}))
 	w.finish()
 }
