knowledge: one reader of the store, two that stand in; fewer calls in an outage

Change: a notice names the revision after which its kind did not change. One reader watches all the time; the second and third check the store when they hear nothing and tell the others. The duties of a node share the calls of an outage, and a node that the store refuses alone lives from notices. Two watches of a kind are at least 0.05 of its bound apart.

--- a/pkg/edge/directory_test.go
+++ b/pkg/edge/directory_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cassiapin/pkg/knowledge"
 	"cassiapin/pkg/peer"
 )
 
@@ -51,7 +52,7 @@
 	for _, id := range chosen {
 		domains[id[0]] = true
 	}
-	if len(chosen) != readingNodes || len(domains) != readingNodes {
+	if len(chosen) != knowledge.Readers || len(domains) != knowledge.Readers {
 		t.Errorf("readers %v", chosen)
 	}
 	for i, j := 0, len(members)-1; i < j; i, j = i+1, j-1 {
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -150,16 +150,17 @@
 	handleKind(n.msgr, kindNotice, handle)
 }
 
-// Reads implements knowledge.Peers.
-func (n notices) Reads() bool {
-	return slices.Contains(readers(n.members.Live()), n.msgr.Self())
+// Rank implements knowledge.Peers.
+func (n notices) Rank() int {
+	ids := readers(n.members.Live())
+	if place := slices.Index(ids, n.msgr.Self()); place >= 0 {
+		return place
+	}
+	return knowledge.Readers
 }
 
-// readingNodes is the number of nodes that read the store for all. One can
-// die, and one be turned away by the store, without the others noticing.
-const readingNodes = 3
-
-// readers chooses the nodes that read the store: the first of each failure
+// readers chooses the nodes that read the store, in the order in which they
+// stand in for each other: the first of each failure
 // domain by rendezvous hashing, and of those the first few, so that the loss
 // of a domain leaves some.
 func readers(members []peer.Member) []peer.NodeID {
@@ -174,7 +175,7 @@
 		firsts = append(firsts, peer.Rendezvous("readers", list, 1)...)
 	}
 	var ids []peer.NodeID
-	for _, m := range peer.Rendezvous("readers", firsts, readingNodes) {
+	for _, m := range peer.Rendezvous("readers", firsts, knowledge.Readers) {
 		ids = append(ids, m.ID)
 	}
 	return ids
--- a/pkg/knowledge/follower.go
+++ b/pkg/knowledge/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,13 +26,10 @@
 	// a store that is slow is heard and one that is back is found soon.
 	callMin = 500 * time.Millisecond
 	callMax = 1500 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call; the pause
-	// doubles and is spread over half of its length.
-	retryMin = 100 * time.Millisecond
-	retryMax = 400 * time.Millisecond
-	// coalesce is the shortest time between two watches of one kind, so that a
-	// series of changes does not cost one call each at every node.
-	coalesce = 50 * time.Millisecond
+	// coalesceShare is the shortest time between two watches of one kind, as a
+	// part of the time in which a change has to take effect, so that a series
+	// of changes does not cost one call each.
+	coalesceShare = 0.05
 )
 
 // follower is the state of one kind's duty.
@@ -44,11 +40,13 @@
 	// once listed is set.
 	from   topology.Revision
 	listed bool
+	// changed is a revision after which there was no change of the kind up to
+	// from; the store's revisions count the changes of all kinds.
+	changed topology.Revision
 	// latency is how long the store took to answer at once; zero asks for a
 	// call without a wait, which measures it.
 	latency     time.Duration
 	callTimeout time.Duration
-	pause       time.Duration
 	failedSince time.Time
 	// verified is when the state was last known to be the newest.
 	verified time.Time
@@ -56,7 +54,8 @@
 
 // follow lists and watches one kind until ctx ends.
 func (s *Service) follow(ctx context.Context, kind Kind) {
-	f := &follower{service: s, kind: kind, callTimeout: callMin, pause: retryMin}
+	f := &follower{service: s, kind: kind, callTimeout: callMin}
+	coalesce := time.Duration(coalesceShare * float64(s.opts.EffectiveIn[kind]))
 	for ctx.Err() == nil {
 		f.listen(ctx)
 		start := s.clock.Now()
@@ -74,8 +73,7 @@
 			f.listed = false
 		default:
 			f.failed(err, start)
-			_ = s.clock.Sleep(ctx, f.pause/2+time.Duration(rand.Int63n(int64(f.pause))))
-			f.pause = min(2*f.pause, retryMax)
+			f.rest(ctx)
 		}
 	}
 }
@@ -83,12 +81,12 @@
 // call makes the next call of the duty.
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
-	start, before := s.clock.Now(), f.from
+	start, before := s.clock.Now(), f.changed
 	var changes []Change
 	switch {
 	case !f.listed:
 		if f.from, err = s.list(ctx, f.kind); err == nil {
-			f.listed, f.latency = true, max(s.clock.Since(start), 1)
+			f.listed, f.latency, f.changed = true, max(s.clock.Since(start), 1), f.from
 		}
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
@@ -101,6 +99,9 @@
 		// The store confirms the state of the moment at which it answers; a
 		// watch that misses a change is found by the next call.
 		f.verified = s.clock.Now()
+		if len(changes) > 0 {
+			f.changed = f.from
+		}
 		f.publish()
 		f.tell(before, changes)
 	}
@@ -112,13 +113,13 @@
 	s := f.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progress[f.kind] = progress{f.from, f.verified}
+	s.progress[f.kind] = progress{f.from, f.changed, f.verified}
 }
 
 // wait is how long the store may hold the watch of the kind.
 func (f *follower) wait() time.Duration {
 	share := watchShare
-	if f.service.opts.Peers != nil && f.service.opts.Peers.Reads() {
+	if f.service.opts.Peers != nil && f.service.rank() < Readers {
 		share = readShare
 	}
 	return time.Duration(share * float64(f.service.opts.EffectiveIn[f.kind]))
@@ -128,7 +129,8 @@
 	if !f.failedSince.IsZero() {
 		f.service.log.Info(eventlog.StoreRegained, "kind", f.kind.String(), "away_ms", f.service.clock.Since(f.failedSince).Milliseconds())
 	}
-	f.failedSince, f.pause, f.callTimeout = time.Time{}, retryMin, callMin
+	f.failedSince, f.callTimeout = time.Time{}, callMin
+	f.service.outage.over()
 }
 
 func (f *follower) failed(err error, start time.Time) {
@@ -140,3 +142,26 @@
 	}
 	f.latency, f.callTimeout = 0, min(2*f.callTimeout, callMax)
 }
+
+// rest waits for this duty's turn to call the store again. It returns at once
+// when another duty gets an answer, or when other nodes tell what the store
+// says now.
+func (f *follower) rest(ctx context.Context) {
+	s := f.service
+	wait, answered := s.outage.turn(s.clock.Now())
+	turn := s.clock.After(wait)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-turn:
+			return
+		case <-answered:
+			return
+		case n := <-s.notices[f.kind]:
+			if f.listed && f.take(n) && f.trusted() > 0 {
+				return
+			}
+		}
+	}
+}
--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -107,11 +107,12 @@
 	notices [Nodes]chan Notice
 	// progress is written by the duties and read for notices, under mu.
 	progress [Nodes]progress
+	outage   *outage
 }
 
 // New returns a service without knowledge.
 func New(o Options) *Service {
-	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker)}
+	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), outage: newOutage()}
 	s.view.Store(&topology.View{})
 	for kind := range s.notices {
 		s.notices[kind] = make(chan Notice, noticeQueue)
--- a/pkg/knowledge/knowledge_test.go
+++ b/pkg/knowledge/knowledge_test.go
@@ -19,6 +19,8 @@
 type fakeStore struct {
 	mu      sync.Mutex
 	version topology.Revision
+	// others counts the changes of objects of kinds that nobody reads.
+	others  topology.Revision
 	changed chan struct{}
 	deaf    bool
 	away    bool
@@ -47,9 +49,9 @@
 		return nil, 0, errAway
 	}
 	if kind != Configurations {
-		return nil, f.version, nil
+		return nil, f.version + f.others, nil
 	}
-	return []Object{f.object()}, f.version, nil
+	return []Object{f.object()}, f.version + f.others, nil
 }
 
 func (f *fakeStore) Watch(
@@ -59,14 +61,14 @@
 	for first := true; ; first = false {
 		f.mu.Lock()
 		f.calls += map[bool]int{true: 1}[first]
-		version, deaf, away, changed, object := f.version, f.deaf, f.away, f.changed, f.object()
+		version, revision, deaf, away, changed, object := f.version, f.version+f.others, f.deaf, f.away, f.changed, f.object()
 		f.mu.Unlock()
 		switch {
 		case away:
 			return nil, 0, errAway
 		case !first && deaf:
 		case version > after && kind == Configurations:
-			return []Change{{Object: object}}, version, nil
+			return []Change{{Object: object}}, revision, nil
 		}
 		select {
 		case <-changed:
@@ -74,7 +76,7 @@
 			if deaf { // The history was dropped while the watch heard nothing.
 				return nil, 0, ErrHistoryLost
 			}
-			return nil, after, nil
+			return nil, revision, nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
@@ -93,7 +95,12 @@
 
 func start(t *testing.T, store Store) *Service {
 	t.Helper()
-	s := New(Options{Store: store, Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{
+	return startWith(t, store, nil)
+}
+
+func startWith(t *testing.T, store Store, peers Peers) *Service {
+	t.Helper()
+	s := New(Options{Store: store, Peers: peers, Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{
 		Configurations: effectiveIn, Upstreams: effectiveIn, Rollouts: effectiveIn, Evacuations: effectiveIn,
 	}})
 	k := kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -15,7 +15,8 @@
 	Known []Known `cbor:"7,keyasint,omitempty"`
 
 	Kind Kind `cbor:"1,keyasint"`
-	// From and To are the revisions before and after the changes.
+	// From and To are the revisions before and after the changes: who knows
+	// the kind up to From has missed nothing else.
 	From topology.Revision `cbor:"2,keyasint"`
 	To   topology.Revision `cbor:"3,keyasint"`
 	// Whole tells that Changes has everything between From and To.
@@ -29,12 +30,27 @@
 	ageMS int64
 }
 
+// Readers is the number of nodes that read the store for all: one can die, and
+// one be turned away by the store, without the others noticing.
+const Readers = 3
+
+// rank is this node's place among the readers; a node without peers is the
+// first.
+func (s *Service) rank() int {
+	if s.opts.Peers == nil {
+		return 0
+	}
+	return s.opts.Peers.Rank()
+}
+
 // Known says up to which revision a reader knows a kind, and how long ago the
 // store confirmed that there was nothing newer.
 type Known struct {
 	Kind  Kind              `cbor:"1,keyasint"`
 	Up    topology.Revision `cbor:"2,keyasint"`
 	AgeMS int64             `cbor:"3,keyasint"`
+	// Changed is a revision after which the kind did not change up to Up.
+	Changed topology.Revision `cbor:"4,keyasint,omitempty"`
 }
 
 // NoticeChange is one change in a notice.
@@ -50,9 +66,11 @@
 
 // Peers are the other nodes.
 type Peers interface {
-	// Reads reports whether this node reads the store for the others. A few
-	// nodes do; the others read it when they hear nothing.
-	Reads() bool
+	// Rank is the place of this node among those that read the store for the
+	// others. The first one reads it all the time; the next ones check it when
+	// they hear nothing from those before them. Readers and above are all
+	// other nodes, which read for themselves when they hear nothing.
+	Rank() int
 	// Tell sends a notice to all nodes; it does not block.
 	Tell(n Notice) error
 	// Receive registers the handler of notices.
@@ -67,8 +85,13 @@
 	// for the kind that is the most urgent.
 	confirmShare = 0.2
 	// trustShare is the same for the time after which a node that hears no
-	// notice asks the store itself; the rest is for that call.
-	trustShare = 0.72
+	// notice asks the store itself; the rest is for that call. standInShare is
+	// that of the second reader, longer than a watch and a period of notices
+	// of the first, and standInStep what each further one waits longer, so
+	// that they ask in turn and before the others do.
+	trustShare   = 0.72
+	standInShare = 0.54
+	standInStep  = 0.06
 	// noticeBytes bounds the changes in a notice. Configurations are never in
 	// one: a flood carries a copy over many links, and those between regions
 	// are paid by volume, so each node reads them from the store.
@@ -81,7 +104,13 @@
 // brought is not sent: the others watch from a revision of their own.
 func (f *follower) tell(before topology.Revision, changes []Change) {
 	s := f.service
-	if len(changes) == 0 || s.opts.Peers == nil || !s.opts.Peers.Reads() {
+	if s.opts.Peers == nil || s.rank() >= Readers {
+		return
+	}
+	if len(changes) == 0 {
+		if s.rank() > 0 {
+			s.tellKnown() // The others hear nothing from the readers before this one.
+		}
 		return
 	}
 	n := Notice{Kind: f.kind, From: before, To: f.from, GraceMS: s.graceLeft().Milliseconds()}
@@ -109,15 +138,22 @@
 		period = min(period, d)
 	}
 	for s.clock.Sleep(ctx, time.Duration(confirmShare*float64(period))) == nil {
-		if !s.opts.Peers.Reads() {
-			continue
+		if s.rank() == 0 {
+			s.tellKnown()
 		}
-		var n Notice
-		for kind := Configurations; kind <= Evacuations; kind++ {
-			if k, ok := s.known(kind); ok {
-				n.Known = append(n.Known, k)
-			}
+	}
+}
+
+// tellKnown tells the others how far this node knows the store by its own
+// calls.
+func (s *Service) tellKnown() {
+	var n Notice
+	for kind := Configurations; kind <= Evacuations; kind++ {
+		if k, ok := s.known(kind); ok {
+			n.Known = append(n.Known, k)
 		}
+	}
+	if len(n.Known) > 0 {
 		s.send(n)
 	}
 }
@@ -128,13 +164,13 @@
 	defer s.mu.Unlock()
 	p := s.progress[kind]
 	age := s.clock.Since(p.verified)
-	return Known{Kind: kind, Up: p.from, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
+	return Known{Kind: kind, Up: p.from, Changed: p.changed, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
 }
 
 // progress is how far a duty knows its kind.
 type progress struct {
-	from     topology.Revision
-	verified time.Time
+	from, changed topology.Revision
+	verified      time.Time
 }
 
 func noticeChanges(changes []Change) []NoticeChange {
@@ -168,7 +204,11 @@
 // receive queues a notice for the duties of its kinds.
 func (s *Service) receive(n Notice) {
 	for _, k := range n.Known {
-		s.queue(Notice{Kind: k.Kind, From: k.Up, To: k.Up, Whole: true, ageMS: k.AgeMS})
+		from := k.Changed
+		if from == 0 {
+			from = k.Up // From a release that does not tell.
+		}
+		s.queue(Notice{Kind: k.Kind, From: from, To: k.Up, Whole: true, ageMS: k.AgeMS})
 	}
 	if len(n.Known) == 0 {
 		s.queue(n)
@@ -191,17 +231,18 @@
 // has come for too long.
 func (f *follower) listen(ctx context.Context) {
 	s := f.service
-	trust := time.Duration(trustShare * float64(s.opts.EffectiveIn[f.kind]))
-	for s.opts.Peers != nil && f.listed && f.failedSince.IsZero() && !s.opts.Peers.Reads() {
-		left := trust - s.clock.Since(f.verified)
+	for f.listed && s.rank() > 0 {
+		left := f.trusted()
 		if left <= 0 {
+			if s.rank() < Readers {
+				f.latency = 0 // Checks once, without a wait, and tells the others.
+			}
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.clock.After(left):
-			return
 		case n := <-s.notices[f.kind]:
 			if !f.take(n) {
 				return
@@ -210,13 +251,23 @@
 	}
 }
 
+// trusted is how much longer the knowledge is new enough without a call.
+func (f *follower) trusted() time.Duration {
+	share := trustShare
+	if rank := f.service.rank(); rank < Readers {
+		share = standInShare + standInStep*float64(rank-1)
+	}
+	trust := time.Duration(share * float64(f.service.opts.EffectiveIn[f.kind]))
+	return trust - f.service.clock.Since(f.verified)
+}
+
 // take applies a notice. It returns false when the store has to be asked.
 func (f *follower) take(n Notice) bool {
 	s := f.service
 	switch {
 	case n.To < f.from:
 		return true // From a reader that is behind; it says nothing new.
-	case n.To > f.from && (!n.Whole || n.From > f.from || len(n.Changes) == 0):
+	case n.To > f.from && (!n.Whole || n.From > f.from):
 		f.latency = 0 // Asks without a wait.
 		return false
 	}
@@ -224,14 +275,18 @@
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.verified) {
 		f.verified = at
 	}
-	if n.To == f.from {
+	if n.To == f.from && f.failedSince.IsZero() {
 		return true
 	}
 	f.from = n.To
+	if f.changed = max(f.changed, n.From); len(n.Changes) > 0 {
+		f.changed = n.To
+	}
 	s.update(func(now time.Time) bool {
 		if n.GraceMS > 0 {
 			s.tracker.Grace(now.Add(time.Duration(n.GraceMS) * time.Millisecond))
 		}
+		s.tracker.Told(f.kind)
 		changed := false
 		for _, c := range n.changes() {
 			changed = s.apply(f.kind, c, now) || changed
--- /dev/null
+++ b/pkg/knowledge/notice_test.go
@@ -0,0 +1,220 @@
+package knowledge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// client is one node's access to a store, with its own count of calls.
+type client struct {
+	*fakeStore
+	refused atomic.Bool
+	calls   atomic.Int64
+}
+
+func (c *client) List(ctx context.Context, kind Kind) ([]Object, topology.Revision, error) {
+	c.calls.Add(1)
+	if c.refused.Load() {
+		return nil, 0, errAway
+	}
+	return c.fakeStore.List(ctx, kind)
+}
+
+func (c *client) Watch(
+	ctx context.Context, kind Kind, after topology.Revision, wait, slack time.Duration,
+) ([]Change, topology.Revision, error) {
+	c.calls.Add(1)
+	if c.refused.Load() {
+		return nil, 0, errAway
+	}
+	return c.fakeStore.Watch(ctx, kind, after, wait, slack)
+}
+
+// hub carries notices between services.
+type hub struct {
+	mu       sync.Mutex
+	handlers []func(Notice)
+}
+
+// seat is one service's place at a hub.
+type seat struct {
+	hub   *hub
+	rank  int
+	place int
+	// mute loses what the service tells.
+	mute atomic.Bool
+}
+
+func (h *hub) seat(rank int) *seat {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handlers = append(h.handlers, nil)
+	return &seat{hub: h, rank: rank, place: len(h.handlers) - 1}
+}
+
+func (s *seat) Rank() int { return s.rank }
+
+func (s *seat) Tell(n Notice) error {
+	if s.mute.Load() {
+		return nil
+	}
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	for i, handle := range s.hub.handlers {
+		if i != s.place && handle != nil {
+			handle(n)
+		}
+	}
+	return nil
+}
+
+func (s *seat) Receive(handle func(Notice)) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.handlers[s.place] = handle
+}
+
+// fleet starts a node that reads the store for others and one of the others.
+func fleet(t *testing.T) (store *fakeStore, listener *client, service *Service) {
+	t.Helper()
+	store = newFakeStore()
+	h := &hub{}
+	waitFor(t, startWith(t, &client{fakeStore: store}, h.seat(0)), 1, time.Second)
+	listener = &client{fakeStore: store}
+	service = startWith(t, listener, h.seat(Readers))
+	waitFor(t, service, 1, time.Second)
+	time.Sleep(effectiveIn / 2) // Its first calls are over.
+	return store, listener, service
+}
+
+// TestOtherKindsChange guards against calls that ask for changes of a kind
+// that has none, because the store's revision counts those of other kinds too.
+func TestOtherKindsChange(t *testing.T) {
+	store, listener, _ := fleet(t)
+	before := listener.calls.Load()
+	for range 15 {
+		store.set(func() { store.others++ })
+		time.Sleep(100 * time.Millisecond)
+	}
+	if calls := listener.calls.Load() - before; calls > 0 {
+		t.Errorf("%d calls for changes that are none of this node's", calls)
+	}
+}
+
+// TestOneCallAChange guards against a node that calls the store more than once
+// for a configuration that others have told it of.
+func TestOneCallAChange(t *testing.T) {
+	store, listener, service := fleet(t)
+	before := listener.calls.Load()
+	store.set(func() { store.version = 5 })
+	waitFor(t, service, 5, effectiveIn)
+	time.Sleep(2 * effectiveIn)
+	if calls := listener.calls.Load() - before; calls != 1 {
+		t.Errorf("%d calls for one configuration, want 1", calls)
+	}
+}
+
+// TestRefusedAlone guards against a node that calls the store again and again
+// while the store refuses it, though other nodes tell what the store says.
+func TestRefusedAlone(t *testing.T) {
+	store, listener, service := fleet(t)
+	listener.refused.Store(true)
+	store.set(func() { store.version = 5 })
+	time.Sleep(effectiveIn)
+	before := listener.calls.Load()
+	const span = 2 * time.Second
+	time.Sleep(span)
+	// Only the configuration has changed, so only its duty calls.
+	if calls, most := listener.calls.Load()-before, int64(span/(retryMax/2)); calls > most {
+		t.Errorf("%d calls in %s, want at most %d", calls, span, most)
+	}
+	listener.refused.Store(false)
+	waitFor(t, service, 5, 3*retryMax/2+200*time.Millisecond)
+}
+
+// TestOutageCalls guards against calls of every duty at its own pace while the
+// store is away: each call is paid for, also a refused one.
+func TestOutageCalls(t *testing.T) {
+	store := newFakeStore()
+	c := &client{fakeStore: store}
+	s := start(t, c)
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(effectiveIn / 2)
+	c.refused.Store(true)
+	before := c.calls.Load()
+	const span = 2500 * time.Millisecond
+	time.Sleep(span)
+	// One call of each duty finds the outage; then half of the longest pause is
+	// the shortest between two calls, but for the first ones.
+	if calls, most := c.calls.Load()-before, int64(Nodes)+int64(span/(retryMax/2))+2; calls > most {
+		t.Errorf("%d calls in an outage of %s, want at most %d", calls, span, most)
+	}
+	c.refused.Store(false)
+	store.set(func() { store.version = 3 })
+	waitFor(t, s, 3, 3*retryMax/2+200*time.Millisecond)
+}
+
+// TestStandIn guards against further readers that call the store while the
+// first one tells what it says, and against nodes that all call it when that
+// one falls silent: the second reader does, in time, and tells the others.
+func TestStandIn(t *testing.T) {
+	store := newFakeStore()
+	h := &hub{}
+	first := h.seat(0)
+	waitFor(t, startWith(t, &client{fakeStore: store}, first), 1, time.Second)
+	second := &client{fakeStore: store}
+	waitFor(t, startWith(t, second, h.seat(1)), 1, time.Second)
+	other := &client{fakeStore: store}
+	service := startWith(t, other, h.seat(Readers))
+	waitFor(t, service, 1, time.Second)
+	time.Sleep(effectiveIn / 2)
+
+	before := second.calls.Load()
+	time.Sleep(3 * effectiveIn)
+	if calls := second.calls.Load() - before; calls > 0 {
+		t.Errorf("%d calls of the second reader while the first one reads", calls)
+	}
+
+	first.mute.Store(true)
+	before = other.calls.Load()
+	time.Sleep(3 * effectiveIn)
+	if calls := other.calls.Load() - before; calls > 0 {
+		t.Errorf("%d calls of a node that the second reader tells", calls)
+	}
+	store.set(func() { store.version = 4 })
+	waitFor(t, service, 4, effectiveIn)
+}
+
+// TestTakenChanges guards against a reader that took changes from another node
+// and then tells that there were none: who has missed them would not ask.
+func TestTakenChanges(t *testing.T) {
+	s := New(Options{Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{}})
+	if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name   string
+		notice Notice
+		want   topology.Revision
+	}{
+		{"changes", Notice{From: 10, To: 12, Whole: true, Changes: []NoticeChange{{Name: "main", Revision: 11}}}, 12},
+		{"an older change of the sender", Notice{From: 8, To: 12, Whole: true}, 9},
+		{"a change that this node knows", Notice{From: 10, To: 12, Whole: true}, 10},
+	} {
+		f := &follower{service: s, kind: Configurations, from: 10, changed: 9, listed: true}
+		if !f.take(tc.notice) || f.from != tc.notice.To {
+			t.Errorf("%s: not taken, at %d", tc.name, f.from)
+		}
+		if f.changed != tc.want {
+			t.Errorf("%s: no change after %d, want %d", tc.name, f.changed, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/knowledge/outage.go
@@ -0,0 +1,47 @@
+package knowledge
+
+import (
+	"math/rand"
+	"sync"
+	"time"
+)
+
+const (
+	// retryMin and retryMax bound the pause between calls while the store does
+	// not answer; the pause doubles and is spread over its own length.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+)
+
+// outage spaces the calls of all duties while the store does not answer: each
+// call is paid for, and any of them finds out that the store is back.
+type outage struct {
+	mu       sync.Mutex
+	pause    time.Duration
+	next     time.Time
+	answered chan struct{}
+}
+
+func newOutage() *outage { return &outage{pause: retryMin, answered: make(chan struct{})} }
+
+// turn returns the time until the caller may call the store, and a channel that
+// is closed when it answers a call before that.
+func (o *outage) turn(now time.Time) (time.Duration, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.next.Before(now) {
+		o.next = now
+	}
+	o.next = o.next.Add(o.pause/2 + time.Duration(rand.Int63n(int64(o.pause))))
+	o.pause = min(2*o.pause, retryMax)
+	return o.next.Sub(now), o.answered
+}
+
+// over notes that the store has answered a call.
+func (o *outage) over() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pause, o.next = retryMin, time.Time{}
+	close(o.answered)
+	o.answered = make(chan struct{})
+}
