knowledge: a duty that is woken by a notice does not keep a turn to call the store

A line of the calls that had failed before showed one every 36 ms at the first reader in the outage: notices that had queued up while it read ended its pause one by one, and each pause had already moved the next turn of the whole node by up to 0.6 s, so the last one waited for seconds. Ruled out: answers over the region's link (216 ms for two large configurations), 429 answers, a revision that went ahead of the configuration (all three versions came with one watch).

Change: a turn is taken when the call starts and not when the pause does; the first reader does not end its pause for notices.

--- a/pkg/knowledge/follower.go
+++ b/pkg/knowledge/follower.go
@@ -143,23 +143,25 @@
 	f.latency, f.callTimeout = 0, min(2*f.callTimeout, callMax)
 }
 
-// rest waits for this duty's turn to call the store again. It returns at once
-// when another duty gets an answer, or when other nodes tell what the store
-// says now.
+// rest waits until this duty may call the store again: for its turn, for an
+// answer to another duty, or, unless this node reads for the others, until the
+// notices of others are too old again.
 func (f *follower) rest(ctx context.Context) {
 	s := f.service
-	wait, answered := s.outage.turn(s.clock.Now())
-	turn := s.clock.After(wait)
+	s.outage.failed(s.clock.Now())
 	for {
+		wait, answered := s.outage.claim(s.clock.Now())
+		if wait == 0 {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-turn:
-			return
 		case <-answered:
 			return
+		case <-s.clock.After(wait):
 		case n := <-s.notices[f.kind]:
-			if f.listed && f.take(n) && f.trusted() > 0 {
+			if f.listed && f.take(n) && f.trusted() > 0 && s.rank() > 0 {
 				return
 			}
 		}
--- a/pkg/knowledge/notice_test.go
+++ b/pkg/knowledge/notice_test.go
@@ -140,6 +140,34 @@
 	waitFor(t, service, 5, 3*retryMax/2+200*time.Millisecond)
 }
 
+// TestReaderRefusedAlone guards against a first reader that calls the store once
+// for each notice that has come while it read, and against a return of the
+// store that it notices late for that.
+func TestReaderRefusedAlone(t *testing.T) {
+	store := newFakeStore()
+	h := &hub{}
+	c := &client{fakeStore: store}
+	s := startWith(t, c, h.seat(0))
+	waitFor(t, s, 1, time.Second)
+	other := h.seat(1)
+	for range noticeQueue {
+		k := Known{Kind: Configurations, Up: 1, Changed: 1}
+		if err := other.Tell(Notice{Known: []Known{k}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.refused.Store(true)
+	before := c.calls.Load()
+	const span = 2 * time.Second
+	time.Sleep(span)
+	if calls, most := c.calls.Load()-before, int64(Nodes)+int64(span/(retryMax/2))+2; calls > most {
+		t.Errorf("%d calls in %s, want at most %d", calls, span, most)
+	}
+	c.refused.Store(false)
+	store.set(func() { store.version = 3 })
+	waitFor(t, s, 3, 3*retryMax/2+200*time.Millisecond)
+}
+
 // TestOutageCalls guards against calls of every duty at its own pace while the
 // store is away: each call is paid for, also a refused one.
 func TestOutageCalls(t *testing.T) {
--- a/pkg/knowledge/outage.go
+++ b/pkg/knowledge/outage.go
@@ -24,17 +24,32 @@
 
 func newOutage() *outage { return &outage{pause: retryMin, answered: make(chan struct{})} }
 
-// turn returns the time until the caller may call the store, and a channel that
-// is closed when it answers a call before that.
-func (o *outage) turn(now time.Time) (time.Duration, <-chan struct{}) {
+// failed notes that a call has failed.
+func (o *outage) failed(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.next.Before(now) {
-		o.next = now
+	if !o.next.After(now) {
+		o.delay(now)
 	}
-	o.next = o.next.Add(o.pause/2 + time.Duration(rand.Int63n(int64(o.pause))))
+}
+
+// claim lets the caller call the store now if it returns zero, and otherwise
+// says when to ask again. The channel is closed when the store answers another
+// call before that.
+func (o *outage) claim(now time.Time) (time.Duration, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.next.After(now) {
+		return o.next.Sub(now), o.answered
+	}
+	o.delay(now)
+	return 0, o.answered
+}
+
+// delay puts off the next call; the caller holds the lock.
+func (o *outage) delay(now time.Time) {
+	o.next = now.Add(o.pause/2 + time.Duration(rand.Int63n(int64(o.pause))))
 	o.pause = min(2*o.pause, retryMax)
-	return o.next.Sub(now), o.answered
 }
 
 // over notes that the store has answered a call.
