relay: a stream whose answer is lost goes on elsewhere within its objective

The upstream lives and answers others, so the question whether it lives does not help, and the patience for a first event was the whole objective, which for this route is the deadline.

Change: the patience is half of the objective, plus four times the present delay of first events, at most the objective, plus the time for long prompts. The delay keeps streams where they are while all upstreams are late.

--- a/pkg/relay/silence.go
+++ b/pkg/relay/silence.go
@@ -20,6 +20,12 @@
 	// prompt: the largest model reads some 18 tokens in a millisecond on its
 	// own and less beside other requests.
 	readAllowance = 150 * time.Microsecond
+	// firstEventShare is the part of the latency objective that a stream waits
+	// for its first event; the rest is for another upstream, if the answer was
+	// lost. delayAllowance is how many times the present delay of first events
+	// is added, so that streams stay where they are while all are late.
+	firstEventShare = 0.5
+	delayAllowance  = 4
 	// silencePoll is the precision of all.
 	silencePoll = 100 * time.Millisecond
 )
@@ -48,7 +54,7 @@
 	s, route := w.flow.service, w.flow.route
 	last := s.clock.Now()
 	asked := last
-	patience := route.TargetLatency + time.Duration(w.flow.request.PromptTokens)*readAllowance
+	patience := firstEventPatience(route.TargetLatency, w.flow.request.PromptTokens, s.opts.Delay.Current(w.flow.target, last))
 	for {
 		select {
 		case <-w.done:
@@ -73,6 +79,13 @@
 	}
 }
 
+// firstEventPatience is how long a stream waits for its first event before it
+// goes to another upstream.
+func firstEventPatience(target time.Duration, promptTokens int, delay time.Duration) time.Duration {
+	patience := time.Duration(firstEventShare*float64(target)) + delayAllowance*delay
+	return max(min(patience, target), silentUpstream) + time.Duration(promptTokens)*readAllowance
+}
+
 // alive asks the upstream whether it lives.
 func (w *silence) alive(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -152,6 +152,45 @@
 	}
 }
 
+// TestLostAnswer guards against a stream that waits past its latency objective
+// for an upstream that lives but has lost the answer.
+func TestLostAnswer(t *testing.T) {
+	b := newBed(t)
+	for _, r := range b.config.Routes {
+		r.Timeout, r.TargetLatency = 10*time.Second, 3*time.Second
+	}
+	b.exchange.script["a"], b.exchange.script["b"] = silent, answers(200, events(1, 3))
+	start := time.Now()
+	c := b.run("/draft/1", func(r *Request) { r.Patience = 10 * time.Second })
+	if took := time.Since(start); c.body.String() != events(1, 3) || took > 2*time.Second {
+		t.Errorf("body %q after %s", c.body.String(), took)
+	}
+}
+
+// TestFirstEventPatience guards against streams that are torn off upstreams
+// which are late because all are, or because the prompt is long.
+func TestFirstEventPatience(t *testing.T) {
+	const target = 4 * time.Second
+	for _, tc := range []struct {
+		name   string
+		tokens int
+		delay  time.Duration
+		want   time.Duration
+	}{
+		{"idle", 0, 0, 2 * time.Second},
+		{"long prompt", 10_000, 0, 3500 * time.Millisecond},
+		{"all are late", 0, 300 * time.Millisecond, 3200 * time.Millisecond},
+		{"all are very late", 0, 3 * time.Second, 4 * time.Second},
+	} {
+		if got := firstEventPatience(target, tc.tokens, tc.delay); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+	}
+	if got := firstEventPatience(100*time.Millisecond, 0, 0); got < silentUpstream {
+		t.Errorf("short objective: %s", got)
+	}
+}
+
 // FuzzEvents guards against an event that is lost, changed or cut by the
 // splitter, whatever an upstream sends.
 func FuzzEvents(f *testing.F) {
