membership: nodes that have met only a part of the fleet look for the others soon

Ruled out: refused certificates after the outage (the store answers, and no refusal is logged then).

Change: the source of seeds is asked again after 1, 2, 4 ... 30 s while it fails or the node has met nobody. Members and seeds that are not live are tried after 1, 2, 4 ... 20 s, beginning with a start, a join or new seeds.

--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -8,10 +8,12 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/kernel"
@@ -328,6 +330,69 @@
 	f.wantAgreement("the loss of a failure domain", 15*time.Second, all)
 }
 
+// TestStartBehindCut guards against nodes that start while they only reach each
+// other, and that stay a fleet of their own for long after that.
+func TestStartBehindCut(t *testing.T) {
+	t.Parallel()
+	for seed := int64(1); seed <= 5; seed++ {
+		f := newFleet(t, memnet.Options{Seed: seed, Delay: time.Millisecond})
+		f.start(3, time.Second)
+		f.wantAgreement("the start", 10*time.Second, all)
+		late := map[peer.NodeID]bool{}
+		f.net.Partition(func(from, to peer.NodeID) bool { return late[from] == late[to] })
+		for i := 3; i < 5; i++ {
+			n := f.add(i)
+			late[n.end.Self()] = true
+			n.locked(func(time.Time) { n.sync.moreSeeds = []string{address(3), address(4)} })
+		}
+		f.wantAgreement("the cut", 10*time.Second, func(n *node) bool { return late[n.end.Self()] })
+		for _, n := range f.nodes[3:] {
+			n.locked(func(time.Time) { n.sync.joined = true }) // Each has joined through the other.
+		}
+		f.net.Partition(nil)
+		f.wantAgreement("the end of the cut", 6*time.Second, all)
+	}
+}
+
+// failingSeeds fails until it has been asked a number of times.
+type failingSeeds struct {
+	mu    sync.Mutex
+	fails int
+	asked chan struct{}
+}
+
+func (f *failingSeeds) Seeds(context.Context) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fails--; f.fails >= 0 {
+		return nil, errors.New("the source is away")
+	}
+	f.asked <- struct{}{}
+	return nil, nil
+}
+
+// TestSeedSourceAway guards against a node that stays alone for long because
+// the source of its seeds did not answer once.
+func TestSeedSourceAway(t *testing.T) {
+	k := kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))
+	network := memnet.New(clock.NewFake(time.Unix(0, 0)), memnet.Options{})
+	source := &failingSeeds{fails: 1, asked: make(chan struct{}, 1)}
+	end := network.Node("node", address(0))
+	s := New(Options{Self: describe(0), Metrics: metrics.NewSet(), SeedSource: source})
+	if err := k.Register(timeline.NewService("node", k.HLC, 16), end, s); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = k.Stop(context.Background()) }()
+	select {
+	case <-source.asked:
+	case <-time.After(2 * seedRetry):
+		t.Error("the source is not asked again soon")
+	}
+}
+
 // Guards against two runs with one seed that differ, so that a failing case
 // cannot be replayed.
 func TestReplay(t *testing.T) {
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -41,8 +41,9 @@
 	relaysPerRegion = 3
 	// syncInterval is the mean period of digests to a random neighbour.
 	syncInterval = 5 * time.Second
-	// reconnectInterval is the mean period at which a node tries one dead
-	// member or one unused seed, so that partitions of any length heal.
+	// reconnectInterval is the longest mean period at which a node tries one
+	// dead member or one unused seed, so that partitions of any length heal.
+	// It begins with joinRetry after a start.
 	reconnectInterval = 20 * time.Second
 	// joinRetry is the period of joins until one has succeeded.
 	joinRetry = time.Second
@@ -54,8 +55,11 @@
 	// stallTime is the delay of a tick after which probe timeouts say nothing:
 	// the process was paused, not its peers.
 	stallTime = 400 * time.Millisecond
-	// seedRefresh is the period at which the SeedSource is asked.
+	// seedRefresh is the period at which the SeedSource is asked. While it
+	// does not answer, or this node has met nobody, it is asked sooner: after
+	// seedRetry, and then after twice as long each time.
 	seedRefresh = 30 * time.Second
+	seedRetry   = time.Second
 )
 
 // SeedSource gives further seed addresses, for example from the host list.
@@ -267,14 +271,24 @@
 
 func (s *Service) refreshSeeds(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
-	for {
+	for retry := time.Duration(0); ; {
 		call, cancel := context.WithTimeout(ctx, seedRefresh)
 		seeds, err := s.opts.SeedSource.Seeds(call)
 		cancel()
 		if err == nil {
-			s.locked(func(time.Time) { s.sync.moreSeeds = seeds })
+			s.locked(func(now time.Time) {
+				s.sync.moreSeeds = seeds
+				s.soonReconnect(now)
+			})
 		}
-		if err := s.clock.Sleep(ctx, seedRefresh); err != nil {
+		pause := seedRefresh
+		if err != nil || len(s.Live()) <= 1 {
+			retry = min(max(2*retry, seedRetry), seedRefresh)
+			pause = retry
+		} else {
+			retry = 0
+		}
+		if err := s.clock.Sleep(ctx, pause); err != nil {
 			return nil
 		}
 	}
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -45,8 +45,11 @@
 	nextJoin      time.Time
 	nextSync      time.Time
 	nextReconnect time.Time
-	moreSeeds     []string
-	followUp      map[peer.NodeID]time.Time
+	// reconnectPause is the mean time between the latest tries to reach the
+	// other side of a partition.
+	reconnectPause time.Duration
+	moreSeeds      []string
+	followUp       map[peer.NodeID]time.Time
 	// queued are changes that are flooded together at newsAt.
 	queued map[peer.NodeID]record
 	newsAt time.Time
@@ -60,7 +63,7 @@
 func (s *Service) tickSync(now time.Time) {
 	if s.sync.nextSync.IsZero() {
 		s.sync.nextSync = now.Add(s.jittered(syncInterval))
-		s.sync.nextReconnect = now.Add(s.jittered(reconnectInterval))
+		s.soonReconnect(now)
 	}
 	if !s.sync.joined && !now.Before(s.sync.nextJoin) {
 		s.sync.nextJoin = now.Add(s.jittered(joinRetry))
@@ -74,7 +77,8 @@
 		s.sendDigest(s.overlay.neighbours[s.rng.Intn(n)])
 	}
 	if !now.Before(s.sync.nextReconnect) {
-		s.sync.nextReconnect = now.Add(s.jittered(reconnectInterval))
+		s.sync.reconnectPause = min(2*s.sync.reconnectPause, reconnectInterval)
+		s.sync.nextReconnect = now.Add(s.jittered(s.sync.reconnectPause))
 		s.tryJoin(append(s.unusedSeeds(), s.deadAddresses()...))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.sync.followUp)) {
@@ -86,6 +90,14 @@
 	s.flushUpdates(now)
 }
 
+// soonReconnect makes the next tries to reach members and seeds that are not
+// live come soon, and then less and less often: nodes that start while others
+// are away may only have met each other.
+func (s *Service) soonReconnect(now time.Time) {
+	s.sync.reconnectPause = joinRetry
+	s.sync.nextReconnect = now.Add(s.jittered(s.sync.reconnectPause))
+}
+
 // unusedSeeds returns the seeds that are not the address of a live member.
 func (s *Service) unusedSeeds() []string {
 	used := map[string]bool{}
@@ -147,6 +159,9 @@
 			s.merge(r, now)
 		}
 	}
+	if !s.sync.joined {
+		s.soonReconnect(now)
+	}
 	s.sync.joined = true
 	s.mergeRepaired(now, a.ID, a.Records)
 	s.sendDigest(a.ID)
