test/soak: real processes under overlapping faults

Five nodes as separate processes, the stand-ins of the store and of four runners in the test's process, a loopback proxy before each. Five series of faults run side by side from a seed: kills, stops, pauses and restarts of nodes, also while they are paused; paths to the store and to runners that are delayed, reset, cut one way or silent; the store away or without its history; configurations, evacuations, runners that leave and come back. Callers keep connections and answers of the directory. Checked: answers and streams are whole and the right ones, bookings run at most once, refused requests have not run, no status that no configuration allows, every send names its runner, no process ends by itself; after the faults everything is served, by the newest configuration, and the directory names all near nodes.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -72,40 +72,11 @@
 	f.t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
 	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
-	text := fmt.Sprintf(`
-host = "front-%d"
-region = "r1"
-failure_domain = "z1"
-entry = %q
-ready = %q
-directory = %q
-ip = %q
-peer_port = 17345
-metrics_port = %d
-seeds = ["127.0.0.10:1"]
-heartbeat = "1200ms"
-[domains]
-z1 = "r1"
-[store]
-address = %q
-[bounds]
-grace = "2s"
-drain = "2500ms"
-config_lag = "2500ms"
-rollback = "5s"
-evacuation = "5s"
-retry_ratio = 0.9
-retry_extra = 56
-retry_window = "10s"
-exposure_share = 0.15
-exposure_extra = 30
-cold_factor = 1.5
-cold_extra = 5
-session_gap = "5s"
-directory_ttl = "5s"
-stability_window = "3s"
-`, i, address(), address(), address(), ip, freePort(f.t), f.store.Address)
-	s, err := settings.ParseRouter("node.toml", []byte(text))
+	text := platformtest.Node{
+		Host: fmt.Sprintf("front-%d", i), Domain: "z1", IP: ip, Entry: address(), Ready: address(), Directory: address(),
+		PeerPort: 17345, MetricsPort: freePort(f.t), Store: f.store.Address, Seeds: `["127.0.0.10:1"]`,
+	}.Settings()
+	s, err := settings.ParseRouter("node.toml", text)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/test/soak/callers_test.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cassiapin/platform/platformtest"
+)
+
+const (
+	// patience is the time that a caller waits for an answer; answerSlack is
+	// how much longer it waits for a node that says so late.
+	patience    = 1500 * time.Millisecond
+	answerSlack = 500 * time.Millisecond
+	// namesFor is how long a caller keeps an answer of the directory. It keeps
+	// open connections for longer.
+	namesFor = 2 * time.Second
+	// callerDomain is the failure domain of all callers; the directory names
+	// the nodes that are near them.
+	callerDomain = "z1"
+)
+
+// outcome is what a caller knows of one attempt.
+type outcome struct {
+	id, path string
+	sent     time.Time
+	status   int
+	body     string
+	// broken is set when the answer did not end properly.
+	broken error
+	node   string
+}
+
+// served reports whether the answer is the right one, whole.
+func (o *outcome) served() bool { return o.status == 200 && o.broken == nil && o.body == o.want() }
+
+// want is the only body that may be complete.
+func (o *outcome) want() string {
+	if !strings.HasPrefix(o.path, "/draft/") {
+		return o.id
+	}
+	var b strings.Builder
+	for event := 1; event <= platformtest.DraftEvents; event++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", event, o.id, event)
+	}
+	return b.String()
+}
+
+// caller sends one request after another.
+type caller struct {
+	world  *world
+	random *rand.Rand
+	name   string
+	client *http.Client
+	names  []string
+	asked  time.Time
+}
+
+func newCaller(w *world, index int) *caller {
+	return &caller{
+		world: w, random: rand.New(rand.NewSource(w.seed + int64(index))), name: fmt.Sprintf("c%d", index),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 2,
+		}},
+	}
+}
+
+// run sends requests until the world stops.
+func (c *caller) run(stop <-chan struct{}, done *sync.WaitGroup) {
+	defer done.Done()
+	defer c.client.CloseIdleConnections()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(5+c.random.Intn(30)) * time.Millisecond):
+		}
+		path := []string{"/lookup/", "/booking/", "/draft/"}[c.random.Intn(3)]
+		if node := c.choose(); node != "" {
+			c.world.note(c.send(node, path, fmt.Sprintf("%s-%d", c.name, i)))
+		}
+	}
+}
+
+// choose picks a node that the directory names.
+func (c *caller) choose() string {
+	if time.Since(c.asked) > namesFor || len(c.names) == 0 {
+		n := c.world.nodes[c.random.Intn(len(c.world.nodes))]
+		if names := n.resolve(); len(names) > 0 {
+			c.names, c.asked = names, time.Now()
+		}
+	}
+	if len(c.names) == 0 {
+		return ""
+	}
+	return c.names[c.random.Intn(len(c.names))]
+}
+
+// send makes one attempt.
+func (c *caller) send(node, path, id string) *outcome {
+	o := &outcome{id: id, path: path, node: node, sent: time.Now()}
+	request, err := platformtest.CallerAttempt("http://"+node+path+"1", "key", id, patience)
+	if err != nil {
+		o.broken = err
+		return o
+	}
+	c.client.Timeout = patience + answerSlack
+	response, err := c.client.Do(request)
+	if err != nil {
+		o.broken = err
+		return o
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	o.status, o.body, o.broken = response.StatusCode, string(body), err
+	return o
+}
--- /dev/null
+++ b/test/soak/tap_test.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"math/rand"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// tap is a TCP proxy on loopback that injects faults into what passes.
+type tap struct {
+	listener net.Listener
+	target   string
+
+	mu sync.Mutex
+	// refuse resets new connections; lost drops what passes in a direction,
+	// and the connection that lost something stays silent for good.
+	refuse bool
+	lost   [2]bool
+	delay  time.Duration
+	conns  map[*net.TCPConn]bool
+}
+
+// The directions of a tap.
+const (
+	toTarget = iota
+	fromTarget
+)
+
+func newTap(t *testing.T, target string) *tap {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &tap{listener: l, target: target, conns: make(map[*net.TCPConn]bool)}
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.reset()
+	})
+	go p.accept()
+	return p
+}
+
+func (p *tap) address() string { return p.listener.Addr().String() }
+
+func (p *tap) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return // The test is over.
+		}
+		go p.carry(conn.(*net.TCPConn))
+	}
+}
+
+func (p *tap) carry(near *net.TCPConn) {
+	p.mu.Lock()
+	refuse := p.refuse
+	p.mu.Unlock()
+	far, err := net.Dial("tcp", p.target)
+	if refuse || err != nil {
+		abort(near)
+		if err == nil {
+			_ = far.Close()
+		}
+		return
+	}
+	other := far.(*net.TCPConn)
+	p.mu.Lock()
+	p.conns[near], p.conns[other] = true, true
+	p.mu.Unlock()
+	var done sync.WaitGroup
+	done.Go(func() { p.copy(other, near, toTarget) })
+	done.Go(func() { p.copy(near, other, fromTarget) })
+	done.Wait()
+	p.mu.Lock()
+	delete(p.conns, near)
+	delete(p.conns, other)
+	p.mu.Unlock()
+	_ = near.Close()
+	_ = other.Close()
+}
+
+// copy carries one direction until either end closes.
+func (p *tap) copy(to, from *net.TCPConn, direction int) {
+	buffer := make([]byte, 16<<10)
+	silent := false
+	for {
+		n, err := from.Read(buffer)
+		p.mu.Lock()
+		silent = silent || p.lost[direction]
+		delay := p.delay
+		p.mu.Unlock()
+		if n > 0 && !silent {
+			time.Sleep(delay)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				abort(from)
+				return
+			}
+		}
+		if err != nil {
+			if !silent {
+				_ = to.CloseWrite() // It may be closed already.
+			}
+			return
+		}
+	}
+}
+
+// reset resets the open connections.
+func (p *tap) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		abort(conn)
+	}
+}
+
+func abort(conn *net.TCPConn) {
+	_ = conn.SetLinger(0) // It may be closed already.
+	_ = conn.Close()
+}
+
+// fault sets a random fault and returns its name.
+func (p *tap) fault(random *rand.Rand) string {
+	p.mu.Lock()
+	kind := random.Intn(5)
+	switch kind {
+	case 0:
+		p.delay = time.Duration(20+random.Intn(200)) * time.Millisecond
+	case 1, 2:
+		p.lost[kind-1] = true
+	case 3:
+		p.lost = [2]bool{true, true}
+	case 4:
+		p.refuse = true
+	}
+	p.mu.Unlock()
+	if kind == 4 {
+		p.reset()
+	}
+	return []string{"delayed", "cut towards it", "cut from it", "silent", "refused"}[kind]
+}
+
+// heal ends all faults. Connections that went silent stay so.
+func (p *tap) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuse, p.lost, p.delay = false, [2]bool{}, 0
+}
