metrics: outcomes by kind, sends by failure domain and model, ages, budget

Change: pkg/relay/meters.go counts final answers, sends and denied repeats; gauges for the age of each kind of knowledge, the retry budget, open connections, the share of a roll-out and lines that wait for the log.

--- a/pkg/cutover/service.go
+++ b/pkg/cutover/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -163,6 +164,7 @@
 		if t == nil || !sameOrder(t.order, r) {
 			t = newTrial(r, now)
 			s.trials[service] = t
+			s.registerGauge(service)
 			s.log.Info(eventlog.RolloutStarted, "service", service, "target", r.Target, "state", r.State.String(),
 				"duration_ms", r.Duration.Milliseconds(), "revision", r.Revision)
 			delete(s.rejected, releaseKey{service, r.Target})
@@ -180,6 +182,19 @@
 	}
 }
 
+// registerGauge shows the share of requests that may use a service's new
+// release, -1 without an order.
+func (s *Service) registerGauge(service string) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`cassiapin_rollout_share{service=%q}`, service), func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if t := s.trials[service]; t != nil {
+			return t.share
+		}
+		return -1
+	})
+}
+
 // halt stops a trial; the caller holds the lock.
 func (s *Service) halt(t *trial, reason string) {
 	if t.halted != "" || t.order.State == topology.RolloutCompleted {
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -40,6 +40,7 @@
 		out: out, queue: make(chan []byte, queueLines), done: make(chan struct{}),
 		lost: metrics.GetOrCreateCounter("cassiapin_log_lines_dropped_total"),
 	}
+	metrics.GetOrCreateGauge("cassiapin_log_lines_waiting", func() float64 { return float64(len(l.queue)) })
 	go l.write()
 	return l
 }
--- a/pkg/limits/retry.go
+++ b/pkg/limits/retry.go
@@ -38,6 +38,9 @@
 	Escalation
 )
 
+// String names the purpose in metrics.
+func (p Purpose) String() string { return [...]string{"recovery", "escalation"}[p] }
+
 // Retries is the retry budget of one node. A node may repeat by the ratio of
 // its own requests, and by its share of the fixed part. It serves loads of any
 // size; under a storm of impatient callers the fixed part is what is left to
@@ -75,12 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	var requests, repeats float64
-	for i := range retryBuckets {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
-	}
-	allowed := retryMargin * (r.opts.Ratio*requests + r.opts.Extra/float64(max(r.nodes(), 1)))
+	allowed, repeats := r.budget(w)
 	if p == Escalation {
 		allowed *= escalationShare
 	}
@@ -91,6 +89,28 @@
 	return true
 }
 
+// budget returns how many repeats the window allows and how many it has.
+func (r *Retries) budget(w *retryWindow) (allowed, repeats float64) {
+	var requests float64
+	for i := range retryBuckets {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	return retryMargin * (r.opts.Ratio*requests + r.opts.Extra/float64(max(r.nodes(), 1))), repeats
+}
+
+// Left is the number of repeats that are left to the service with the fewest.
+func (r *Retries) Left() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least := retryMargin * r.opts.Extra / float64(max(r.nodes(), 1))
+	for service := range r.services {
+		allowed, repeats := r.budget(r.window(service))
+		least = min(least, allowed-repeats)
+	}
+	return least
+}
+
 // window returns the service's window, moved to the present.
 func (r *Retries) window(service string) *retryWindow {
 	w := r.services[service]
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -256,6 +256,12 @@
 	s.opts.Cutover.Answered(f.target, a.upstream.Release, f.route.Name+"/"+f.model, good, s.clock.Since(a.started))
 }
 
+// succeeded notes a good answer.
+func (f *flow) succeeded(u *topology.Upstream) {
+	f.countSend(u, sendGood)
+	f.service.opts.Table.Succeeded(u, f.service.clock.Now())
+}
+
 // gaveUp tells the cutover of an attempt that has no answer after a while.
 func (f *flow) gaveUp(a *attempt) {
 	s := f.service
@@ -306,6 +312,7 @@
 	s := f.service
 	now := s.clock.Now()
 	pause := s.opts.Table.Failed(u, fail.unreachable, now)
+	f.countSend(u, fail.code.String())
 	s.log.Warn(eventlog.AttemptFailed, f.attrs("upstream", u.ID, "release", u.Release, "failure_domain", u.FailureDomain,
 		"code", int(fail.code), "reason", fail.reason, "not_run", fail.notRun, "sends", f.sends, "model", f.model,
 		"delivered", f.delivered, "paused_ms", pause.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
@@ -321,7 +328,14 @@
 	if f.sends == 0 {
 		return true
 	}
-	return f.sends < f.route.MaxUpstreams && s.opts.Retries.Take(f.target, purpose)
+	if f.sends >= f.route.MaxUpstreams {
+		return false
+	}
+	if !s.opts.Retries.Take(f.target, purpose) {
+		countDenied(purpose)
+		return false
+	}
+	return true
 }
 
 // giveUp ends a request that got no answer, as truthfully as is known.
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -55,7 +55,6 @@
 // plainAttempt sends the request to one upstream. answer is the application's
 // answer, also when it reports a failure, and nil if there is none.
 func (f *flow) plainAttempt(ctx context.Context, u *topology.Upstream) (answer *Answer, body []byte, fail failure) {
-	s := f.service
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	over := f.limitPatience(ctx, cancel, u)
@@ -82,7 +81,7 @@
 	case !a.answer.Successful():
 		return a.answer, body, failure{code: result.UpstreamError, reason: "the application reports a failure"}
 	}
-	s.opts.Table.Succeeded(u, s.clock.Now())
+	f.succeeded(u)
 	return a.answer, body, failure{}
 }
 
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
@@ -60,18 +59,11 @@
 	clock clock.Clock
 	log   *slog.Logger
 	open  atomic.Int64
-
-	refused, failed, left *metrics.Counter
 }
 
 // New returns a service.
 func New(o Options) *Service {
-	return &Service{
-		opts:    o,
-		refused: metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="refused"}`),
-		failed:  metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="failed"}`),
-		left:    metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="caller_left"}`),
-	}
+	return &Service{opts: o}
 }
 
 // Name implements kernel.Service.
@@ -80,7 +72,7 @@
 // Provision implements kernel.Service.
 func (s *Service) Provision(k *kernel.Kernel) error {
 	s.clock, s.log = k.Clock, k.Log
-	metrics.GetOrCreateGauge("cassiapin_requests_open", func() float64 { return float64(s.Open()) })
+	s.registerGauges()
 	return nil
 }
 
@@ -233,7 +225,7 @@
 
 // refuse answers that the request has not run and will not.
 func (f *flow) refuse(code result.Code, retryAfter time.Duration, reason string) {
-	f.service.refused.Inc()
+	f.countOutcome(outcomeRefused)
 	attrs := f.attrs("code", int(code), "reason", reason,
 		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)
 	if code == result.NoRunner {
@@ -245,7 +237,7 @@
 
 // fail answers that the request may have run and has no answer.
 func (f *flow) fail(code result.Code, reason string) {
-	f.service.failed.Inc()
+	f.countOutcome(outcomeFailed)
 	f.service.log.Error(eventlog.RequestFailed, f.attrs("code", int(code), "reason", reason,
 		"elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends, "upstream", f.lastID(), "delivered", f.delivered)...)
 	if f.begun {
@@ -257,17 +249,15 @@
 
 // gone ends a request whose caller has left.
 func (f *flow) gone() {
-	f.service.left.Inc()
+	f.countOutcome(outcomeLeft)
 	f.service.log.Info(eventlog.RequestLeft, f.attrs("elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
 		"upstream", f.lastID(), "delivered", f.delivered)...)
 	f.out.Abort()
 }
 
 func (f *flow) done(status int) {
-	metrics.GetOrCreateCounter(`cassiapin_requests_total{outcome="answered"}`).Inc()
-	kind := f.route.Kind.String()
-	metrics.GetOrCreateHistogram(`cassiapin_request_duration_seconds{kind="` + kind + `"}`).Update(f.elapsed().Seconds())
-	metrics.GetOrCreateHistogram(`cassiapin_first_byte_seconds{kind="` + kind + `"}`).Update(f.firstByte.Seconds())
+	f.countOutcome(outcomeAnswered)
+	f.countFirstByte(f.firstByte)
 	f.service.log.Info(eventlog.RequestDone, f.attrs("status", status, "sends", f.sends, "upstream", f.lastID(),
 		"model", f.model, "first_ms", f.firstByte.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -89,7 +89,7 @@
 			"confidence", outlook.Confidence, "delay_ms", outlook.Delay.Milliseconds(),
 			"expected_ms", outlook.Expected.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
 		ladder.Escalate()
-		s.opts.Table.Succeeded(u, s.clock.Now())
+		f.succeeded(u)
 		delete(f.tried, u.Incarnation()) // The upstream is well; a better model may run there.
 		return streamEscalated, failure{}
 	}
@@ -99,7 +99,7 @@
 	for {
 		raw, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			s.opts.Table.Succeeded(u, s.clock.Now())
+			f.succeeded(u)
 			f.begin(a.answer)
 			return streamComplete, failure{}
 		}
