--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -140,13 +140,21 @@
 		address string
 		handler http.Handler
 		callers bool
+		// optional handlers are left out if their address is in use.
+		optional bool
 	}{
-		{s.Entry, callers, true},
-		{s.Ready, platform.ReadinessHandler(n.Ready), false},
-		{s.Directory, platform.DirectoryHandler(addresses, n.log), false},
-		{net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), metricsHandler(), false},
+		{address: s.Entry, handler: callers, callers: true},
+		{address: s.Ready, handler: platform.ReadinessHandler(n.Ready)},
+		{address: s.Directory, handler: platform.DirectoryHandler(addresses, n.log)},
+		{address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), handler: metricsHandler(), optional: true},
 	} {
 		listener, err := net.Listen("tcp", l.address)
+		if err != nil && l.optional {
+			// The port is the same on all deployments, and another address of
+			// this one may have it.
+			n.log.Warn(eventlog.MetricsNotServed, "address", l.address, "error", err.Error())
+			continue
+		}
 		if err != nil {
 			out.closeListeners()
 			return nil, errors.Wrapf(err, "listen on %s", l.address)
--- a/pkg/edge/metrics_test.go
+++ b/pkg/edge/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"regexp"
@@ -58,3 +59,20 @@
 		}
 	}
 }
+
+// TestMetricsPortTaken guards against a node that does not start because
+// something else has the port of the metrics.
+func TestMetricsPortTaken(t *testing.T) {
+	f := newFleet(t, 1)
+	taken := *f.nodes[0].settings
+	taken.Entry, taken.Ready, taken.Directory = "127.0.0.10:0", "127.0.0.10:0", "127.0.0.10:0"
+	n, err := New(&taken, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.servers.closeListeners()
+	taken.Entry = f.nodes[0].settings.Entry
+	if _, err := New(&taken, slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("a node without its entry address starts")
+	}
+}
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -2,11 +2,12 @@
 
 // The messages of structured log lines. docs/OPERATIONS.md explains each.
 const (
-	NodeStarted    = "node started"
-	NodeLeaving    = "node leaving"
-	NodeStopped    = "node stopped"
-	SettingsTaken  = "settings taken"
-	SettingsFailed = "settings refused"
+	NodeStarted      = "node started"
+	NodeLeaving      = "node leaving"
+	NodeStopped      = "node stopped"
+	MetricsNotServed = "metrics not served"
+	SettingsTaken    = "settings taken"
+	SettingsFailed   = "settings refused"
 
 	StoreLost      = "store lost"
 	StoreRegained  = "store regained"
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/cutover"
