knowledge: a node that the store refuses takes configurations from another node

Ruled out: carrying configurations in floods, which are paid by volume between regions.

Change: after a refused call the node asks a live node of its region for the configuration that the notice points to. Other kinds are in the notices.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -91,7 +91,7 @@
 		},
 		Seeds: s.PeerSeeds(), SeedSource: n.registry,
 	})
-	nodes := &fleet{members: n.members, msgr: transport, registry: n.registry}
+	nodes := &fleet{members: n.members, msgr: transport, registry: n.registry, region: s.Region}
 	n.knowledge = knowledge.New(knowledge.Options{
 		Store: store, Decoder: platform.Translator{Regions: s.Domains},
 		Peers:   notices{nodes},
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
 	"cassiapin/pkg/cutover"
@@ -22,6 +24,7 @@
 	kindCutover    peer.Kind = "cutover.report"
 	kindCutoverSum peer.Kind = "cutover.sum"
 	kindNotice     peer.Kind = "knowledge.notice"
+	kindQuestion   peer.Kind = "knowledge.question"
 )
 
 // fleet joins members and messages to what the services need of the other
@@ -32,7 +35,9 @@
 	msgr    peer.Messenger
 	// registry knows nodes that this one has not met.
 	registry *registry
-	log      *slog.Logger
+	// region is this node's own.
+	region string
+	log    *slog.Logger
 }
 
 func (*fleet) Name() string { return "fleet.nodes" }
@@ -150,6 +155,39 @@
 	handleKind(n.msgr, kindNotice, handle)
 }
 
+// errNobodyNear is returned when no other node of the region is known.
+var errNobodyNear = errors.New("no other node of the region is known")
+
+// Ask implements knowledge.Peers: any live node of the region may be asked.
+func (n notices) Ask(ctx context.Context, q knowledge.Question) (reply knowledge.Reply, err error) {
+	var near []peer.NodeID
+	for _, m := range n.members.Live() {
+		if m.ID != n.msgr.Self() && m.Region == n.region && m.State == peer.Alive {
+			near = append(near, m.ID)
+		}
+	}
+	if len(near) == 0 {
+		return reply, errNobodyNear
+	}
+	err = n.msgr.Request(ctx, near[rand.IntN(len(near))], kindQuestion, q, &reply)
+	return reply, err
+}
+
+// Answer implements knowledge.Peers.
+func (n notices) Answer(handle func(q knowledge.Question) (knowledge.Reply, error)) {
+	n.msgr.Handle(kindQuestion, func(_ context.Context, _ peer.NodeID, body []byte) (any, error) {
+		var q knowledge.Question
+		if err := peer.Decode(body, &q); err != nil {
+			return nil, err
+		}
+		reply, err := handle(q)
+		if err != nil {
+			return nil, err
+		}
+		return reply, nil
+	})
+}
+
 // Rank implements knowledge.Peers.
 func (n notices) Rank() int {
 	ids := readers(n.members.Live())
--- a/pkg/knowledge/follower.go
+++ b/pkg/knowledge/follower.go
@@ -43,6 +43,9 @@
 	// changed is a revision after which there was no change of the kind up to
 	// from; the store's revisions count the changes of all kinds.
 	changed topology.Revision
+	// pending is the latest revision that notices point to without its
+	// changes.
+	pending topology.Revision
 	// latency is how long the store took to answer at once; zero asks for a
 	// call without a wait, which measures it.
 	latency     time.Duration
@@ -73,7 +76,9 @@
 			f.listed = false
 		default:
 			f.failed(err, start)
-			f.rest(ctx)
+			if !f.ask(ctx) {
+				f.rest(ctx)
+			}
 		}
 	}
 }
@@ -103,17 +108,20 @@
 			f.changed = f.from
 		}
 		f.publish()
+		s.mu.Lock()
+		s.progress[f.kind] = progress{f.from, f.changed, f.verified}
+		s.mu.Unlock()
 		f.tell(before, changes)
 	}
 	return err
 }
 
-// publish notes the progress for notices to the others.
+// publish notes how far this node knows the kind.
 func (f *follower) publish() {
 	s := f.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progress[f.kind] = progress{f.from, f.changed, f.verified}
+	s.reached[f.kind] = progress{f.from, f.changed, f.verified}
 }
 
 // wait is how long the store may hold the watch of the kind.
@@ -161,7 +169,7 @@
 			return
 		case <-s.clock.After(wait):
 		case n := <-s.notices[f.kind]:
-			if f.listed && f.take(n) && f.trusted() > 0 && s.rank() > 0 {
+			if f.listed && (f.take(n) || f.ask(ctx)) && f.trusted() > 0 && s.rank() > 0 {
 				return
 			}
 		}
--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -105,9 +105,12 @@
 	// contact is the Unix nanosecond of the latest answer by kind.
 	contact [Nodes]atomic.Int64
 	notices [Nodes]chan Notice
-	// progress is written by the duties and read for notices, under mu.
-	progress [Nodes]progress
-	outage   *outage
+	// progress is how far the duties have read the store, for notices; reached
+	// is how far they know it, also from other nodes. config is the object of
+	// the newest configuration. All are under mu.
+	progress, reached [Nodes]progress
+	config            Object
+	outage            *outage
 }
 
 // New returns a service without knowledge.
@@ -128,6 +131,7 @@
 	s.clock, s.log = k.Clock, k.Log
 	if s.opts.Peers != nil {
 		s.opts.Peers.Receive(s.receive)
+		s.opts.Peers.Answer(s.answer)
 	}
 	return nil
 }
@@ -234,6 +238,7 @@
 		config, ok, err = s.opts.Decoder.Config(c.Object)
 		if err == nil && ok && !c.Deleted {
 			if changed = s.tracker.SetConfig(config); changed {
+				s.config = c.Object
 				s.log.Info(eventlog.ConfigTaken, "config", config.Version, "revision", config.Revision,
 					"routes", len(config.Routes), "services", len(config.Services), "organisations", len(config.Organisations))
 			}
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/topology"
 )
@@ -75,6 +77,23 @@
 	Tell(n Notice) error
 	// Receive registers the handler of notices.
 	Receive(handle func(n Notice))
+	// Ask asks some other node that is near.
+	Ask(ctx context.Context, q Question) (Reply, error)
+	// Answer registers the handler of questions.
+	Answer(handle func(q Question) (Reply, error))
+}
+
+// Question asks for what a node knows of a kind beyond a revision.
+type Question struct {
+	Kind  Kind              `cbor:"1,keyasint"`
+	After topology.Revision `cbor:"2,keyasint"`
+}
+
+// Reply is the answer to a Question.
+type Reply struct {
+	Notice Notice `cbor:"1,keyasint"`
+	// AgeMS is how long ago the store confirmed it.
+	AgeMS int64 `cbor:"2,keyasint"`
 }
 
 const (
@@ -269,12 +288,14 @@
 		return true // From a reader that is behind; it says nothing new.
 	case n.To > f.from && (!n.Whole || n.From > f.from):
 		f.latency = 0 // Asks without a wait.
+		f.pending = max(f.pending, n.To)
 		return false
 	}
 	s.contact[f.kind].Store(s.clock.Now().UnixNano())
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.verified) {
 		f.verified = at
 	}
+	defer f.publish()
 	if n.To == f.from && f.failedSince.IsZero() {
 		return true
 	}
@@ -295,3 +316,45 @@
 	})
 	return true
 }
+
+// askTimeout bounds a question to another node; an answer is a configuration of
+// some hundred KB at most, from the same region.
+const askTimeout = 800 * time.Millisecond
+
+// ask takes a configuration that notices point to from another node, for a node
+// that the store does not answer.
+func (f *follower) ask(ctx context.Context) bool {
+	s := f.service
+	if f.kind != Configurations || !f.listed || f.pending <= f.from || s.opts.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, err := s.opts.Peers.Ask(ctx, Question{Kind: f.kind, After: f.from})
+	if err != nil {
+		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		return false
+	}
+	n := r.Notice
+	n.ageMS = r.AgeMS
+	return n.Kind == f.kind && n.To > f.from && f.take(n)
+}
+
+var errNothingNewer = errors.New("nothing newer is known")
+
+// answer answers the question of another node. A configuration is one object,
+// so the newest one has all that came between.
+func (s *Service) answer(q Question) (Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.reached[Configurations]
+	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 {
+		return Reply{}, errNothingNewer
+	}
+	return Reply{
+		Notice: Notice{
+			Kind: Configurations, From: q.After, To: known.from, Whole: true, Changes: noticeChanges([]Change{{Object: s.config}}),
+		},
+		AgeMS: s.clock.Since(known.verified).Milliseconds(),
+	}, nil
+}
--- a/pkg/knowledge/notice_test.go
+++ b/pkg/knowledge/notice_test.go
@@ -38,10 +38,11 @@
 	return c.fakeStore.Watch(ctx, kind, after, wait, slack)
 }
 
-// hub carries notices between services.
+// hub carries notices and questions between services.
 type hub struct {
 	mu       sync.Mutex
 	handlers []func(Notice)
+	answers  []func(Question) (Reply, error)
 }
 
 // seat is one service's place at a hub.
@@ -56,7 +57,7 @@
 func (h *hub) seat(rank int) *seat {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.handlers = append(h.handlers, nil)
+	h.handlers, h.answers = append(h.handlers, nil), append(h.answers, nil)
 	return &seat{hub: h, rank: rank, place: len(h.handlers) - 1}
 }
 
@@ -82,6 +83,23 @@
 	s.hub.handlers[s.place] = handle
 }
 
+func (s *seat) Answer(handle func(Question) (Reply, error)) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.answers[s.place] = handle
+}
+
+func (s *seat) Ask(_ context.Context, q Question) (Reply, error) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	for i, answer := range s.hub.answers {
+		if i != s.place && answer != nil {
+			return answer(q)
+		}
+	}
+	return Reply{}, errAway
+}
+
 // fleet starts a node that reads the store for others and one of the others.
 func fleet(t *testing.T) (store *fakeStore, listener *client, service *Service) {
 	t.Helper()
@@ -122,22 +140,22 @@
 	}
 }
 
-// TestRefusedAlone guards against a node that calls the store again and again
-// while the store refuses it, though other nodes tell what the store says.
+// TestRefusedAlone guards against a node that the store refuses and that stays
+// behind the others or calls the store again and again, though they tell what
+// it says.
 func TestRefusedAlone(t *testing.T) {
 	store, listener, service := fleet(t)
 	listener.refused.Store(true)
-	store.set(func() { store.version = 5 })
-	time.Sleep(effectiveIn)
 	before := listener.calls.Load()
-	const span = 2 * time.Second
-	time.Sleep(span)
-	// Only the configuration has changed, so only its duty calls.
-	if calls, most := listener.calls.Load()-before, int64(span/(retryMax/2)); calls > most {
-		t.Errorf("%d calls in %s, want at most %d", calls, span, most)
+	store.set(func() { store.version = 5 })
+	waitFor(t, service, 5, effectiveIn)
+	time.Sleep(2 * effectiveIn)
+	store.set(func() { store.version = 6 })
+	waitFor(t, service, 6, effectiveIn)
+	// One refused call for each configuration; then another node is asked.
+	if calls := listener.calls.Load() - before; calls > 2 {
+		t.Errorf("%d calls, want 2", calls)
 	}
-	listener.refused.Store(false)
-	waitFor(t, service, 5, 3*retryMax/2+200*time.Millisecond)
 }
 
 // TestReaderRefusedAlone guards against a first reader that calls the store once
