placement, relay: stay near while slots are free; blame upstreams only for their own faults

Ruled out: prompts (17 of 856 streams went to the other region).

Change: without batches, load counts by its square. A request that ends by its caller's doing before the upstream was late does not count against it, and a failure that a second upstream confirms is taken back from the first.

Tests: TestChooseWithFreeSlots, TestNoBlame and TestExcused, of which the first two fail on the code before.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -23,6 +23,9 @@
 	// upstream, zero for no limit: upstreams bound the connections of all nodes
 	// together.
 	MaxOpen int
+	// Batched requests run in batches, in which each slows the others. Others
+	// run side by side until the slots are taken.
+	Batched bool
 	// Tried are upstreams that already had the request.
 	Tried map[topology.Incarnation]bool
 	Now   time.Time
@@ -30,8 +33,7 @@
 
 // The weights of the score, in seconds by which a request is served later.
 const (
-	// fullLoad is the delay at an upstream whose slots are all taken: each
-	// request in a batch slows the others.
+	// fullLoad is the delay at an upstream whose slots are all taken.
 	fullLoad = 1.0
 	// readingShare is the part of the prompts that wait to be read in front of
 	// a request, of those that this node knows of; it stands for those of
@@ -74,7 +76,7 @@
 		}
 		s := t.state(u, r.Now)
 		load := s.load(r.Now)
-		score := fullLoad*load/float64(max(u.Slots, 1)) + readingShare*s.reading.Seconds() + distance(r, u) + failurePenalty*s.rate(r.Now)
+		score := fullLoad*slowdown(load/float64(max(u.Slots, 1)), r.Batched) + readingShare*s.reading.Seconds() + distance(r, u) + failurePenalty*s.rate(r.Now)
 		if u == preferred {
 			score -= affinityBonus
 		}
@@ -141,6 +143,16 @@
 	return best
 }
 
+// slowdown is the part of the delay at full load that a load causes. Without
+// batches a request waits only if all slots are taken when it comes, which is
+// seldom so at a small load.
+func slowdown(load float64, batched bool) float64 {
+	if batched {
+		return load
+	}
+	return load * load
+}
+
 func distance(r Request, u *topology.Upstream) float64 {
 	switch {
 	case u.FailureDomain == r.FailureDomain:
--- a/pkg/placement/choose_test.go
+++ b/pkg/placement/choose_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// TestChooseWithFreeSlots guards against requests that cross to another region
+// because one of several slots of the near upstream is taken, and against one
+// that waits there for a slot while a far upstream has some.
+func TestChooseWithFreeSlots(t *testing.T) {
+	table := NewTable()
+	near, far := up("near", "a", "r"), up("far", "c", "q")
+	near.Slots, far.Slots = 6, 6
+	for open, want := range []string{"near", "near", "near", "far", "far", "far"} {
+		if got := choose(t, table, request(epoch, far, near)); got != want {
+			t.Errorf("%d requests at the near upstream: %q, want %q", open, got, want)
+		}
+		table.Opened(near, 0, epoch)
+	}
+}
+
 // TestChooseAroundLongPrompts guards against short requests that wait behind
 // long prompts at an upstream with few requests.
 func TestChooseAroundLongPrompts(t *testing.T) {
@@ -87,6 +102,21 @@
 	}
 }
 
+// TestExcused guards against an upstream that is avoided for a failure that was
+// not its own.
+func TestExcused(t *testing.T) {
+	table := NewTable()
+	near, far := up("near", "a", "r"), up("far", "c", "q")
+	table.Failed(near, false, epoch)
+	if got := choose(t, table, request(epoch, near, far)); got != "far" {
+		t.Errorf("after a failure: %q", got)
+	}
+	table.Excused(near, epoch)
+	if got := choose(t, table, request(epoch, near, far)); got != "near" {
+		t.Errorf("after the failure is taken back: %q", got)
+	}
+}
+
 // TestMaxOpen guards against more connections to an upstream than it accepts
 // from all nodes together.
 func TestMaxOpen(t *testing.T) {
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -167,6 +167,15 @@
 	return pause
 }
 
+// Excused takes back a failure that was not the upstream's.
+func (t *Table) Excused(u *topology.Upstream, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(u, now)
+	s.failureRate = max((s.rate(now)-failureWeight)/(1-failureWeight), 0)
+	s.failedAt = now
+}
+
 // Paused reports whether an upstream is left out because it could not be
 // reached.
 func (t *Table) Paused(u *topology.Upstream, now time.Time) bool {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -127,6 +127,7 @@
 		Region:        s.opts.Region,
 		Tried:         f.tried,
 		MaxOpen:       maxOpen(service, len(nodes)),
+		Batched:       f.route.Streams(),
 		Now:           now,
 		Usable: func(u *topology.Upstream, coldUntil time.Time) bool {
 			return allowed(u) && (!f.cold(u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now))
@@ -200,7 +201,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{upstream: u, started: now, cancel: cancel, flow: f, released: s.opts.Cutover.Opened(f.target, u.Release, f.route.Repeats())}
 	f.tried[u.Incarnation()] = true
-	f.last = u
+	f.last, f.sentAt = u, now
 	a.reading = s.opts.Reading.Estimate(model, f.unreadTokens())
 	s.opts.Table.Opened(u, a.reading, now)
 	answer, err := s.opts.Exchange.Send(ctx, &Send{
@@ -276,6 +277,8 @@
 	notRun bool
 	// unreachable upstreams are left out for a while.
 	unreachable bool
+	// reported failures are the application's own answer.
+	reported bool
 }
 
 // sendFailure classifies an attempt without an answer.
@@ -307,17 +310,39 @@
 	return failure{}, true
 }
 
-// failed records a failed attempt.
-func (f *flow) attemptFailed(u *topology.Upstream, fail failure) {
+// attemptFailed records a failed attempt.
+func (f *flow) attemptFailed(ctx context.Context, u *topology.Upstream, fail failure) {
 	s := f.service
 	now := s.clock.Now()
-	pause := s.opts.Table.Failed(u, fail.unreachable, now)
+	var pause time.Duration
+	if f.blames(ctx, u, fail, now) {
+		pause = s.opts.Table.Failed(u, fail.unreachable, now)
+	}
 	f.countSend(u, fail.code.String())
 	s.log.Warn(eventlog.AttemptFailed, f.attrs("upstream", u.ID, "release", u.Release, "failure_domain", u.FailureDomain,
 		"code", int(fail.code), "reason", fail.reason, "not_run", fail.notRun, "sends", f.sends, "model", f.model,
 		"delivered", f.delivered, "paused_ms", pause.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
 }
 
+// blames reports whether a failure says something of the upstream. It does not
+// if the caller left or its time was over before the upstream was late, nor if
+// the application fails the request wherever it runs.
+func (f *flow) blames(ctx context.Context, u *topology.Upstream, fail failure, now time.Time) bool {
+	ended := ctx.Err() != nil || f.deadline.Sub(now) < minRemaining
+	if ended && now.Sub(f.sentAt) < f.route.TargetLatency {
+		return false
+	}
+	if !fail.reported {
+		return true
+	}
+	if f.failedAt != nil {
+		f.service.opts.Table.Excused(f.failedAt, now)
+		return false
+	}
+	f.failedAt = u
+	return true
+}
+
 // mayRepeat reports whether one more upstream may get the request, and draws
 // on the retry budget. Attempts that never reached an upstream are free.
 func (f *flow) mayRepeat(ctx context.Context, purpose limits.Purpose) bool {
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -34,7 +34,7 @@
 			f.deliver(answer, body)
 			return
 		}
-		f.attemptFailed(u, fail)
+		f.attemptFailed(ctx, u, fail)
 		repeat := (f.route.Repeats() || fail.notRun) && f.mayRepeat(ctx, limits.Recovery)
 		if !repeat && answer != nil {
 			f.deliver(answer, body)
@@ -79,7 +79,7 @@
 	case len(body) > maxAnswerBytes:
 		return nil, nil, failure{code: result.UpstreamTooLarge, reason: "the answer is too large"}
 	case !a.answer.Successful():
-		return a.answer, body, failure{code: result.UpstreamError, reason: "the application reports a failure"}
+		return a.answer, body, failure{code: result.UpstreamError, reason: "the application reports a failure", reported: true}
 	}
 	f.succeeded(u)
 	return a.answer, body, failure{}
--- a/pkg/relay/plain_test.go
+++ b/pkg/relay/plain_test.go
@@ -191,6 +191,47 @@
 	}
 }
 
+// TestNoBlame guards against an upstream that is avoided for what is not its
+// fault: a caller that left or had little time, and a request that the
+// application fails wherever it runs.
+func TestNoBlame(t *testing.T) {
+	fails := answers(500, "no")
+	for _, tc := range []struct {
+		name   string
+		a, b   func(context.Context, *Send) (*Answer, error)
+		change func(r *Request)
+		leave  time.Duration
+		blamed bool
+	}{
+		{"the caller leaves soon", silent, silent, nil, 50 * time.Millisecond, false},
+		{"little time", silent, silent, func(r *Request) { r.Patience = 60 * time.Millisecond }, 0, false},
+		{"fails everywhere", fails, fails, nil, 0, false},
+		{"fails at one upstream", fails, answers(200, "ok"), nil, 0, true},
+		{"silent beyond the objective", silent, answers(200, "ok"), nil, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.exchange.script["a"], b.exchange.script["b"] = tc.a, tc.b
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if tc.leave > 0 {
+				time.AfterFunc(tc.leave, cancel)
+			}
+			r := &Request{ID: "id", Host: "h", Path: "/lookup/1", Key: "key", Patience: 2 * time.Second, Received: time.Now()}
+			if tc.change != nil {
+				tc.change(r)
+			}
+			b.Serve(ctx, r, &caller{})
+			b.exchange.script["a"], b.exchange.script["b"] = answers(200, "ok"), answers(200, "ok")
+			b.exchange.sends = nil
+			b.run("/lookup/1")
+			if blamed := b.exchange.upstreams() != "a"; blamed != tc.blamed {
+				t.Errorf("the next request goes to %q", b.exchange.upstreams())
+			}
+		})
+	}
+}
+
 // TestDeadlinePassedOn guards against an upstream that is given more time than
 // the caller or the route allows.
 func TestDeadlinePassedOn(t *testing.T) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -48,7 +48,7 @@
 		case streamEscalated:
 			continue
 		}
-		f.attemptFailed(u, fail)
+		f.attemptFailed(ctx, u, fail)
 		if !(f.route.Repeats() || fail.notRun) || !f.mayRepeat(ctx, limits.Recovery) {
 			f.giveUp(ctx, fail)
 			return
@@ -184,7 +184,7 @@
 // streamRefused handles an answer of the application that reports a failure.
 // It is passed on when the request cannot be repeated.
 func (f *flow) streamRefused(ctx context.Context, a *attempt) (streamEnd, failure) {
-	fail := failure{code: result.UpstreamError, reason: "the application reports a failure"}
+	fail := failure{code: result.UpstreamError, reason: "the application reports a failure", reported: true}
 	if f.begun || f.route.Repeats() && f.sends < f.route.MaxUpstreams {
 		return streamFailed, fail
 	}
@@ -192,7 +192,7 @@
 	if err != nil || ctx.Err() != nil {
 		return streamFailed, fail
 	}
-	f.attemptFailed(a.upstream, fail)
+	f.attemptFailed(ctx, a.upstream, fail)
 	f.begun = true
 	f.out.Begin(a.answer)
 	if err := f.out.Events(body); err != nil {
