log lines carry hybrid clock stamps, and explain orders nodes by them

Change: each line of a node on the platform has the stamp of its hybrid clock; notices between nodes carry one. Explain orders by stamps, and by wall clock and place where there is none.

The time line of events (cassiapin timeline) still has a merger of its own.

--- a/pkg/clock/hlc.go
+++ b/pkg/clock/hlc.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Stamp is a hybrid logical clock reading. Stamps of causally ordered events
@@ -36,6 +40,26 @@
 	return fmt.Sprintf("%s.%04d", t.Format("2006-01-02T15:04:05.000Z"), s.Logical)
 }
 
+// Short formats the stamp as two numbers, for log lines.
+func (s Stamp) Short() string {
+	b := strconv.AppendInt(make([]byte, 0, 24), s.WallMS, 10)
+	return string(strconv.AppendUint(append(b, '.'), uint64(s.Logical), 10))
+}
+
+// ParseStamp reads what Short has written.
+func ParseStamp(text string) (Stamp, error) {
+	wall, logical, _ := strings.Cut(text, ".")
+	ms, err := strconv.ParseInt(wall, 10, 64)
+	if err != nil {
+		return Stamp{}, errors.Wrap(err, "physical part of a stamp")
+	}
+	l, err := strconv.ParseUint(logical, 10, 32)
+	if err != nil {
+		return Stamp{}, errors.Wrap(err, "logical part of a stamp")
+	}
+	return Stamp{WallMS: ms, Logical: uint32(l)}, nil
+}
+
 // maxAheadMS bounds how far a remote stamp may move the local clock. A host
 // whose wall clock is wrong by more would otherwise order every later
 // operator decision behind its own.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -62,7 +62,9 @@
 	_, _ = rand.Read(raw[:]) // crypto/rand does not fail since Go 1.24.
 	id := s.Host + "-" + hex.EncodeToString(raw[:])
 	log = log.With("node", id)
-	n := &Node{settings: s, log: log, kernel: kernel.New(clock.Real{}, log)}
+	k := kernel.New(clock.Real{}, log)
+	k.Log = eventlog.Stamped(log, k.HLC)
+	n := &Node{settings: s, log: k.Log, kernel: k}
 	services, err := n.assemble(id)
 	if err != nil {
 		return nil, err
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/clock"
 	"cassiapin/pkg/eventlog"
 )
 
@@ -23,7 +24,10 @@
 	Time    time.Time
 	Node    string
 	Message string
-	Fields  map[string]any
+	// Stamp is the node's hybrid clock, zero in lines without one. It orders
+	// the lines of all nodes, also when a wall clock jumps.
+	Stamp  clock.Stamp
+	Fields map[string]any
 }
 
 // Step is a line about the request and the beliefs behind it.
@@ -72,15 +76,20 @@
 		return Line{}, false
 	}
 	l.Time = at
-	for _, name := range []string{"msg", "node", "time", "level"} {
+	if text, ok := fields[eventlog.StampField].(string); ok {
+		if l.Stamp, err = clock.ParseStamp(text); err != nil {
+			return Line{}, false
+		}
+	}
+	for _, name := range []string{"msg", "node", "time", "level", eventlog.StampField} {
 		delete(fields, name)
 	}
 	return l, true
 }
 
 // Request returns the steps of the request with the id, in the order of the
-// nodes' clocks. Lines of one node keep their order, also when its clock was
-// set back.
+// nodes' hybrid clocks. Lines without a stamp are ordered by wall clocks, and
+// within one node by their place.
 func Request(id string, lines []Line) []Step {
 	var steps []Step
 	for i, l := range lines {
@@ -89,6 +98,9 @@
 		}
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int {
+		if a.Line.Stamp != b.Line.Stamp && a.Line.Stamp != (clock.Stamp{}) && b.Line.Stamp != (clock.Stamp{}) {
+			return a.Line.Stamp.Compare(b.Line.Stamp)
+		}
 		if a.Line.Node == b.Line.Node {
 			return a.place - b.place
 		}
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -46,3 +46,24 @@
 		t.Errorf("steps of an unknown request: %v", steps)
 	}
 }
+
+// TestOrderOfNodes guards against steps of several nodes that are put in the
+// order of wall clocks, of which one has jumped.
+func TestOrderOfNodes(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+{"time":"2026-01-04T03:22:27.000Z","msg":"attempt failed","node":"ahead","stamp":"1767496944100.0","request":"r1","code":301}
+{"time":"2026-01-04T03:22:27.050Z","msg":"request refused","node":"ahead","stamp":"1767496944100.4","request":"r1"}
+{"time":"2026-01-04T03:22:24.900Z","msg":"request done","node":"other","stamp":"1767496944100.10","request":"r1"}
+{"time":"2026-01-04T03:22:24.000Z","msg":"model escalated","node":"other","stamp":"1767496944000.0","request":"r1"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, s := range Request("r1", lines) {
+		got = append(got, s.Line.Message)
+	}
+	if want := "model escalated, attempt failed, request refused, request done"; strings.Join(got, ", ") != want {
+		t.Errorf("steps %v, want %s", got, want)
+	}
+}
--- a/pkg/knowledge/knowledge.go
+++ b/pkg/knowledge/knowledge.go
@@ -96,6 +96,7 @@
 	kernel.Base
 	opts  Options
 	clock clock.Clock
+	hlc   *clock.HLC
 	log   *slog.Logger
 
 	mu      sync.Mutex
@@ -128,7 +129,7 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(k *kernel.Kernel) error {
-	s.clock, s.log = k.Clock, k.Log
+	s.clock, s.hlc, s.log = k.Clock, k.HLC, k.Log
 	if s.opts.Peers != nil {
 		s.opts.Peers.Receive(s.receive)
 		s.opts.Peers.Answer(s.answer)
--- a/pkg/knowledge/notice.go
+++ b/pkg/knowledge/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/clock"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/topology"
 )
@@ -28,6 +29,9 @@
 	// outage of the store.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
 
+	// Stamp orders the log lines of the sender and the receiver.
+	Stamp clock.Stamp `cbor:"8,keyasint"`
+
 	// ageMS is how old the knowledge is; the receiver sets it.
 	ageMS int64
 }
@@ -144,6 +148,7 @@
 }
 
 func (s *Service) send(n Notice) {
+	n.Stamp = s.hlc.Next()
 	if err := s.opts.Peers.Tell(n); err != nil {
 		s.log.Debug(eventlog.NoticeFailed, "kind", n.Kind.String(), "revision", n.To, "error", err.Error())
 	}
@@ -222,6 +227,9 @@
 
 // receive queues a notice for the duties of its kinds.
 func (s *Service) receive(n Notice) {
+	if !s.hlc.Observe(n.Stamp) {
+		s.log.Debug(eventlog.NoticeFailed, "reason", "the sender's clock is far ahead", "stamp_of_sender", n.Stamp.Short())
+	}
 	for _, k := range n.Known {
 		from := k.Changed
 		if from == 0 {
