edge: probes carry the stamps of hybrid clocks

Change: each probe between nodes and its answer carry one, by the piggyback that membership has for this.

TestClocksFollow.

--- /dev/null
+++ b/pkg/edge/clocks_test.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+)
+
+// TestClocksFollow guards against a node whose lines stay behind those of a node
+// with a clock that is ahead, and against one whose clock a broken probe moves.
+func TestClocksFollow(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	now := time.Unix(1_700_000_000, 0)
+	ahead := &clocks{hlc: clock.NewHLC(clock.NewFake(now.Add(2 * time.Second))), log: log}
+	behind := &clocks{hlc: clock.NewHLC(clock.NewFake(now)), log: log}
+	sent := ahead.ProbeData()
+	behind.ObserveProbe("ahead", sent)
+	got, err := clock.ParseStamp(string(behind.ProbeData()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want, _ := clock.ParseStamp(string(sent)); got.Compare(want) <= 0 {
+		t.Errorf("after a stamp of %v comes %v", want, got)
+	}
+	for _, bad := range []string{"", "x", "99999999999999.0"} {
+		behind.ObserveProbe("broken", []byte(bad))
+	}
+	if next, _ := clock.ParseStamp(string(behind.ProbeData())); next.WallMS != got.WallMS {
+		t.Errorf("a broken probe moved the clock from %v to %v", got, next)
+	}
+}
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -44,6 +44,7 @@
 
 func (f *fleet) Provision(k *kernel.Kernel) error {
 	f.log = k.Log
+	f.members.AddPiggyback(clockKey, &clocks{hlc: k.HLC, log: k.Log})
 	return nil
 }
 
