--- a/pkg/knowledge/notice_test.go
+++ b/pkg/knowledge/notice_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// wantFewCalls makes the store refuse the client for a while and checks how
+// often it is called meanwhile, and that its return is noticed in time.
+func (c *client) wantFewCalls(t *testing.T, s *Service) {
+	t.Helper()
+	c.refused.Store(true)
+	before := c.calls.Load()
+	const span = 2500 * time.Millisecond
+	time.Sleep(span)
+	// One call of each duty finds the outage; then half of the longest pause is
+	// the shortest between two calls, but for the first ones.
+	if calls, most := c.calls.Load()-before, int64(Nodes)+int64(span/(retryMax/2))+2; calls > most {
+		t.Errorf("%d calls in %s, want at most %d", calls, span, most)
+	}
+	c.refused.Store(false)
+	c.set(func() { c.version = 3 })
+	waitFor(t, s, 3, 3*retryMax/2+200*time.Millisecond)
+}
+
 // TestReaderRefusedAlone guards against a first reader that calls the store once
 // for each notice that has come while it read, and against a return of the
 // store that it notices late for that.
@@ -174,16 +192,7 @@
 			t.Fatal(err)
 		}
 	}
-	c.refused.Store(true)
-	before := c.calls.Load()
-	const span = 2 * time.Second
-	time.Sleep(span)
-	if calls, most := c.calls.Load()-before, int64(Nodes)+int64(span/(retryMax/2))+2; calls > most {
-		t.Errorf("%d calls in %s, want at most %d", calls, span, most)
-	}
-	c.refused.Store(false)
-	store.set(func() { store.version = 3 })
-	waitFor(t, s, 3, 3*retryMax/2+200*time.Millisecond)
+	c.wantFewCalls(t, s)
 }
 
 // TestOutageCalls guards against calls of every duty at its own pace while the
@@ -194,18 +203,7 @@
 	s := start(t, c)
 	waitFor(t, s, 1, time.Second)
 	time.Sleep(effectiveIn / 2)
-	c.refused.Store(true)
-	before := c.calls.Load()
-	const span = 2500 * time.Millisecond
-	time.Sleep(span)
-	// One call of each duty finds the outage; then half of the longest pause is
-	// the shortest between two calls, but for the first ones.
-	if calls, most := c.calls.Load()-before, int64(Nodes)+int64(span/(retryMax/2))+2; calls > most {
-		t.Errorf("%d calls in an outage of %s, want at most %d", calls, span, most)
-	}
-	c.refused.Store(false)
-	store.set(func() { store.version = 3 })
-	waitFor(t, s, 3, 3*retryMax/2+200*time.Millisecond)
+	c.wantFewCalls(t, s)
 }
 
 // TestStandIn guards against further readers that call the store while the
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -335,11 +335,11 @@
 	if !fail.reported {
 		return true
 	}
-	if f.failedAt != nil {
-		f.service.opts.Table.Excused(f.failedAt, now)
+	if f.failedFirst != nil {
+		f.service.opts.Table.Excused(f.failedFirst, now)
 		return false
 	}
-	f.failedAt = u
+	f.failedFirst = u
 	return true
 }
 
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -112,11 +112,11 @@
 	ran   bool
 	tried map[topology.Incarnation]bool
 	last  *topology.Upstream
-	// sentAt is when the latest send began; failedAt is the first upstream
-	// whose application reported a failure.
-	sentAt   time.Time
-	failedAt *topology.Upstream
-	model    string
+	// sentAt is when the latest send began; failedFirst is the first upstream
+	// whose application reported a failure, nil before that.
+	sentAt      time.Time
+	failedFirst *topology.Upstream
+	model       string
 	// delivered is the last event that the caller has.
 	delivered int64
 	begun     bool
