test/integration: reset connections in the middle of a body by a proxy of its own

The failure with code 301 is traced too: the test healed the links of all runners one after the other, and healing cut the connections, so each of the three attempts was reset.

Change: resetLink limits the rate of answers and resets connections; lifting the limit closes none. The test also checks that exactly one answer was cut.

--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -49,6 +49,8 @@
 	// timeScale is the time scale of the engines, 0.1 by default.
 	timeScale float64
 	leaseTTL  time.Duration
+	// resetLinks puts a resetLink before each runner.
+	resetLinks bool
 	// change edits the declarations before the first publication.
 	change func(d *config.Declarations)
 }
@@ -68,10 +70,12 @@
 	relay    *relay
 	// runnerLinks are keyed by runner, serviceLinks by failure domain.
 	runnerLinks, serviceLinks map[string]*link
-	objectsURL                string
-	ratingLink, weightsLink   *link
-	declarations              config.Declarations
-	record                    *record
+	// resetLinks are keyed by runner; empty without that option.
+	resetLinks              map[string]*resetLink
+	objectsURL              string
+	ratingLink, weightsLink *link
+	declarations            config.Declarations
+	record                  *record
 
 	mu       sync.Mutex
 	nodes    []*process
@@ -110,7 +114,7 @@
 	f := &fleet{
 		t: t, options: o, deployment: workload.Berceuse(), operator: admin.NewClient(operatorKey),
 		engines: make(map[string]*engine.Engine), services: make(map[string]*httpservice.Server),
-		runnerLinks: make(map[string]*link), serviceLinks: make(map[string]*link), relay: newRelay(t, o.seed),
+		resetLinks: make(map[string]*resetLink), runnerLinks: make(map[string]*link), serviceLinks: make(map[string]*link), relay: newRelay(t, o.seed),
 	}
 	f.startPlatform()
 	f.startUpstreams()
@@ -151,6 +155,10 @@
 		e := engine.New(o)
 		l := newLink(f.t, r.Name, f.serve(e))
 		f.engines[r.Name], f.runnerLinks[r.Name], urls.Runners[r.Name] = e, l, l.url()
+		if f.options.resetLinks {
+			reset := newResetLink(f.t, l.url())
+			f.resetLinks[r.Name], urls.Runners[r.Name] = reset, reset.url()
+		}
 	}
 	for _, d := range f.deployment.Domains {
 		s := httpservice.New(httpservice.Options{LookupTime: 2 * time.Millisecond, BookingTime: 20 * time.Millisecond})
--- a/test/integration/upstream_faults_test.go
+++ b/test/integration/upstream_faults_test.go
@@ -119,11 +119,11 @@
 // the caller has not received any byte.
 func TestConnectionResetDuringBody(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, options{seed: 4, timeScale: slowTimeScale})
+	f := startFleet(t, options{seed: 4, timeScale: slowTimeScale, resetLinks: true})
 	// An answer of 200 tokens has more than 1 KB, so at 1 KB/s its body takes
 	// longer than a second.
 	for _, name := range f.runnersOf("large") {
-		f.runnerLinks[name].addToxic(t, "bandwidth", "downstream", attributes{"rate": 1})
+		f.resetLinks[name].limit(1000)
 	}
 	wait := f.sendAsync(f.chat("suggestion", "large", 1, 200, false))
 	runner := ""
@@ -135,22 +135,35 @@
 		}
 		return runner != ""
 	})
-	f.runnerLinks[runner].cut()
+	f.resetLinks[runner].reset()
 	for _, name := range f.runnersOf("large") {
-		f.runnerLinks[name].heal(t)
+		f.resetLinks[name].limit(0)
 	}
 	f.checkAllAnswered(wait())
+	if answered := f.answeredBy("large"); answered != 2 {
+		t.Errorf("runners wrote %d answers, want 2: the reset did not occur during the first one", answered)
+	}
+	f.resetLinks[runner].heal()
 
 	// A stream that has started cannot be retried: it is resumed or ends with an
 	// error.
 	tokens := f.generatedTokens()
 	wait = f.sendAsync(f.chat("suggestion", "large", 2, 300, true))
 	runner = f.awaitGeneratingRunner(tokens)
-	f.runnerLinks[runner].cut()
+	f.resetLinks[runner].reset()
 	time.Sleep(200 * time.Millisecond) // New connections are refused meanwhile.
-	f.runnerLinks[runner].heal(t)
+	f.resetLinks[runner].heal()
 	if o := wait()[0]; o.FirstToken == 0 || !o.Answered && (o.Code == 0 || o.Run == result.NotRun) {
 		t.Errorf("connection closed during a stream: %s", describe(o))
 	}
 	f.finish()
 }
+
+// answeredBy returns the number of answers written by the runners of a model.
+func (f *fleet) answeredBy(model string) int64 {
+	answered := int64(0)
+	for _, name := range f.runnersOf(model) {
+		answered += int64(f.engines[name].Counters().Answered)
+	}
+	return answered
+}
