relay, platform: bounds for bytes without end, foreign answers, slow callers and panics

Cause: an upstream that sends blank lines or comments without end kept a stream until its deadline (2 s in TestEndlessStream and TestTrickle on the old code) and its comments counted as progress; response heads were bounded by 10 MB each and answers by 16 MB each, with no bound together; an answer without a request id was taken for the request's own; a connection that had carried a foreign answer was used again; a caller that never finished its body or never read its answer held a request for good; a panic in a message handler or a decoder ended the process.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,12 @@
 	timelineCapacity = 512
 	// defaultBodyBytes limits request bodies until a configuration sets a limit.
 	defaultBodyBytes = 4 << 20
+	// gcShare is the share of the host's memory at which the garbage collector
+	// starts to work harder; buffers of the kernel count as well.
+	gcShare = 0.8
+	// answerShare is the share of the host's memory for answers that are larger
+	// than usual.
+	answerShare = 0.125
 )
 
 // Node is one process that serves callers.
@@ -74,6 +81,7 @@
 
 func (n *Node) assemble(id string) ([]kernel.Service, error) {
 	s := n.settings
+	debug.SetMemoryLimit(int64(gcShare * float64(s.MemoryBytes())))
 	pair, err := keys.MakeEphemeralCert(time.Now())
 	if err != nil {
 		return nil, err
@@ -108,6 +116,8 @@
 		SessionGap:    s.Bounds.SessionGap.Std(),
 		ExposureShare: s.Bounds.ExposureShare, ExposureExtra: s.Bounds.ExposureExtra,
 	})
+	memory := limits.NewMemory(int64(answerShare * float64(s.MemoryBytes())))
+	memory.Export()
 	n.relay = relay.New(relay.Options{
 		FailureDomain: s.FailureDomain, Region: s.Region,
 		Client: platform.NewRunnerClient(), Views: n.storeView, Fleet: nodes,
@@ -119,6 +129,7 @@
 		Prefill: placement.NewPrefillEstimator(),
 		Delay:   cascade.NewDelayEstimator(),
 		Canary:  canaryService,
+		Memory:  memory,
 	})
 	n.servers, err = n.listen()
 	if err != nil {
--- a/pkg/peer/router.go
+++ b/pkg/peer/router.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -261,9 +263,25 @@
 			return nil, err
 		}
 	}
+	return r.handle(ctx, h, from, e)
+}
+
+// handle runs a handler. A panic ends only the message that caused it.
+func (r *Router) handle(ctx context.Context, h Handler, from NodeID, e Envelope) (reply any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			handlerPanics.Inc()
+			slog.Error("message handler panicked", "kind", string(e.Kind), "from", string(from), "panic", fmt.Sprint(p),
+				"stack", string(debug.Stack()))
+			reply, err = nil, result.New(result.Internal, "the handler of %s messages panicked", e.Kind)
+		}
+	}()
 	return h(ctx, from, e.Body)
 }
 
+// handlerPanics counts messages whose handler panicked.
+var handlerPanics = metrics.GetOrCreateCounter("cassiapin_peer_handler_panics_total")
+
 // Serve runs the handler of a request and returns the encoded response.
 func (r *Router) Serve(ctx context.Context, from NodeID, raw []byte) []byte {
 	reply, err := r.Receive(ctx, from, raw)
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -7,61 +7,96 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/limits"
+)
+
+const (
+	// maxEventBytes is the largest event accepted in a stream.
+	maxEventBytes = 1 << 20
+	// maxFillerBytes bounds the comments and blank lines between two events.
+	maxFillerBytes = 64 << 10
+	// readBufferBytes fits usual events of a few hundred bytes.
+	readBufferBytes = 2 << 10
 )
 
-// maxEventBytes is the largest event accepted in a stream.
-const maxEventBytes = 1 << 20
+var (
+	// errPartialEvent is returned for a stream that ends within an event.
+	errPartialEvent = errors.New("event stream ended within an event")
+	// errOnlyFiller is returned for a stream of comments or blank lines.
+	errOnlyFiller = errors.Newf("%d bytes of comments and blank lines without an event", maxFillerBytes)
+)
 
-// errPartialEvent is returned for a stream that ends within an event.
-var errPartialEvent = errors.New("event stream ended within an event")
+// streamEvent is one event of a stream.
+type streamEvent struct {
+	// raw has the bytes of the event with the terminating blank line. It is
+	// valid until the next call of next.
+	raw []byte
+	// id is -1 if the event has none.
+	id int64
+	// comment is set if there are only comment lines, which keep a connection
+	// alive but are no progress of the stream.
+	comment bool
+}
 
 // eventReader splits an event stream into events.
 type eventReader struct {
-	r *bufio.Reader
+	r      *bufio.Reader
+	buffer buffer
+	// filler is the number of bytes since the last event.
+	filler int
 }
 
-// eventBufferBytes fits usual events of a few hundred bytes; longer ones are
-// collected in a separate, growing buffer.
-const eventBufferBytes = 2 << 10
-
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+// newEventReader returns a reader that has to be closed.
+func newEventReader(r io.Reader, memory *limits.Memory) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, readBufferBytes), buffer: buffer{memory: memory, limit: maxEventBytes}}
 }
 
-// next returns the bytes of the next event including the terminating blank
-// line, and its id, or -1 if it has none. It returns io.EOF only between
-// events.
-func (e *eventReader) next() (raw []byte, id int64, err error) {
-	id = -1
-	for {
-		line, err := e.r.ReadSlice('\n')
-		raw = append(raw, line...)
-		if len(raw) > maxEventBytes {
-			return nil, -1, errors.Newf("event exceeds %d bytes", maxEventBytes)
+// close releases the memory of the reader.
+func (e *eventReader) close() { e.buffer.release() }
+
+// next returns the next event. It returns io.EOF only between events.
+func (e *eventReader) next() (streamEvent, error) {
+	next := streamEvent{id: -1, comment: true}
+	e.buffer.bytes = e.buffer.bytes[:0]
+	for lineStart := 0; ; {
+		part, err := e.r.ReadSlice('\n')
+		if appendErr := e.buffer.append(part); appendErr != nil {
+			return streamEvent{}, appendErr
+		}
+		if next.comment {
+			if e.filler += len(part); e.filler > maxFillerBytes {
+				return streamEvent{}, errOnlyFiller
+			}
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			next.comment = next.comment && e.buffer.bytes[lineStart] == ':'
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(raw)) > 0 {
-				return nil, -1, errPartialEvent
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer.bytes)) > 0 {
+				return streamEvent{}, errPartialEvent
 			}
-			return nil, -1, err
+			return streamEvent{}, err
+		}
+		text := bytes.TrimRight(e.buffer.bytes[lineStart:], "\r\n")
+		if len(text) == 0 && lineStart == 0 {
+			e.buffer.bytes = e.buffer.bytes[:0] // Skip blank lines between events.
+			continue
 		}
-		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(bytes.TrimSpace(raw)) == 0 {
-				raw = raw[:0] // Skip blank lines between events.
-				continue
+			if !next.comment {
+				e.filler = 0
 			}
-			return raw, id, nil
+			next.raw = e.buffer.bytes
+			return next, nil
 		}
+		next.comment = next.comment && text[0] == ':'
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil {
-				return nil, -1, errors.Wrap(err, "parse event id")
+			if next.id, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err != nil {
+				return streamEvent{}, errors.Wrap(err, "parse event id")
 			}
-			id = n
 		}
+		lineStart = len(e.buffer.bytes)
 	}
 }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -49,6 +49,8 @@
 	Prefill               *placement.PrefillEstimator
 	Delay                 *cascade.DelayEstimator
 	Canary                *canary.Service
+	// Memory bounds the buffers of answers; nil is no bound.
+	Memory *limits.Memory
 }
 
 // Service serves requests. It is registered as ServiceName.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -93,38 +93,52 @@
 		delete(f.tried, u.Incarnation()) // The larger model may run at the same upstream.
 		return streamEscalated, failure{}
 	}
-	events := newEventReader(a.answer.Body)
+	events := newEventReader(a.answer.Body, s.opts.Memory)
+	defer events.close()
 	pace := eventPace{start: s.clock.Now()}
 	defer func() { f.reportPace(a, pace) }()
 	for {
-		raw, id, err := events.next()
+		next, err := events.next()
 		if errors.Is(err, io.EOF) {
 			f.recordSuccess(u)
 			f.begin(a.answer)
 			return streamComplete, failure{}
 		}
 		if err != nil {
-			return streamFailed, failure{code: result.StreamCut, reason: err.Error(), unreachable: watch.timedOut()}
+			return streamFailed, bodyFailure(err, watch.timedOut())
 		}
-		watch.recordEvent()
-		f.recordFirstEvent(a)
-		pace.event(s.clock.Now())
-		if id >= 0 && id <= f.delivered && f.delivered > 0 {
+		if next.comment && !f.begun {
+			continue
+		}
+		if !next.comment {
+			watch.recordEvent()
+			f.recordFirstEvent(a)
+			pace.event(s.clock.Now())
+		}
+		if next.id >= 0 && next.id <= f.delivered && f.delivered > 0 {
 			continue // Drop events that the caller already has.
 		}
-		if id >= 0 && f.delivered > 0 && id != f.delivered+1 {
+		if next.id >= 0 && f.delivered > 0 && next.id != f.delivered+1 {
 			return streamFailed, failure{code: result.StreamCut, reason: "the upstream left out an event"}
 		}
 		f.begin(a.answer)
-		if err := f.out.WriteEvents(raw); err != nil {
+		if err := f.out.WriteEvents(next.raw); err != nil {
 			return streamCallerLeft, failure{}
 		}
-		if id >= 0 {
-			f.delivered = id
+		if next.id >= 0 {
+			f.delivered = next.id
 		}
 	}
 }
 
+// bodyFailure classifies the error of reading an answer's body.
+func bodyFailure(err error, timedOut bool) failure {
+	if errors.Is(err, errTooLarge) || errors.Is(err, errOnlyFiller) {
+		return failure{code: result.AnswerTooLarge, reason: err.Error()}
+	}
+	return failure{code: result.StreamCut, reason: errors.Wrap(err, "read answer").Error(), unreachable: timedOut}
+}
+
 // eventPace measures the interval between the events of one attempt.
 type eventPace struct {
 	start, last time.Time
@@ -189,14 +203,15 @@
 	if f.begun || f.route.Retryable() && f.sends < f.route.MaxUpstreams {
 		return streamFailed, fail
 	}
-	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
-	if err != nil || ctx.Err() != nil {
+	body := buffer{memory: f.service.opts.Memory, limit: maxAnswerBytes}
+	defer body.release()
+	if err := body.readAll(a.answer.Body); err != nil || ctx.Err() != nil {
 		return streamFailed, fail
 	}
 	f.attemptFailed(ctx, a.upstream, fail)
 	f.begun = true
 	f.out.Begin(a.answer)
-	if err := f.out.WriteEvents(body); err != nil {
+	if err := f.out.WriteEvents(body.bytes); err != nil {
 		return streamCallerLeft, failure{}
 	}
 	return streamComplete, failure{}
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cassiapin/pkg/limits"
 )
 
 // cut returns a script whose stream is cut after text.
@@ -200,13 +202,15 @@
 	f.Add("id: 4\ndata: x\r\n\r\n\n\n: comment\n\nid: nine\n\n")
 	f.Add(strings.Repeat("data: long ", 600) + "\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := newEventReader(strings.NewReader(text))
+		memory := limits.NewMemory(1 << 20)
+		r := newEventReader(strings.NewReader(text), memory)
 		var joined strings.Builder
 		for {
-			raw, _, err := r.next()
+			next, err := r.next()
 			if err != nil {
 				break
 			}
+			raw := next.raw
 			if !strings.HasSuffix(strings.ReplaceAll(string(raw), "\r", ""), "\n\n") {
 				t.Fatalf("event does not end with a blank line: %q", raw)
 			}
@@ -216,5 +220,8 @@
 		if got := strings.Join(strings.Fields(joined.String()), ""); !strings.HasPrefix(strings.Join(strings.Fields(text), ""), got) {
 			t.Fatalf("events %q are not a prefix of the input %q", got, text)
 		}
+		if r.close(); memory.Used() != 0 {
+			t.Fatalf("%d bytes are still reserved", memory.Used())
+		}
 	})
 }
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -101,6 +101,12 @@
 	return a.Signed && !a.Encoded && a.Status >= 200 && a.Status < 300
 }
 
+// FromRunner reports whether the answer is that of an upstream to this request:
+// of its application, or a refusal to run the request.
+func (a *Answer) FromRunner() bool {
+	return a.MatchesRequest && (a.Signed || a.NotRun || a.WrongInstance)
+}
+
 // Client sends requests to upstreams. Send returns a *SendError on failure;
 // otherwise the caller has to read and close the body.
 type Client interface {
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,14 +31,15 @@
 			return
 		}
 		answer, body, fail := f.unaryAttempt(ctx, u)
+		defer body.release()
 		if answer != nil && answer.Successful() {
-			f.deliver(answer, body)
+			f.deliver(answer, body.bytes)
 			return
 		}
 		f.attemptFailed(ctx, u, fail)
 		repeat := (f.route.Retryable() || fail.notRun) && f.mayRepeat(ctx, limits.Recovery)
 		if !repeat && answer != nil {
-			f.deliver(answer, body)
+			f.deliver(answer, body.bytes)
 			return
 		}
 		if !repeat {
@@ -55,8 +55,10 @@
 }
 
 // unaryAttempt sends the request to one upstream. answer is the application's
-// answer, even if that reports a failure, or nil if there is none.
-func (f *flow) unaryAttempt(ctx context.Context, u *topology.Upstream) (answer *Answer, body []byte, fail failure) {
+// answer, even if that reports a failure, or nil if there is none. The receiver
+// releases body.
+func (f *flow) unaryAttempt(ctx context.Context, u *topology.Upstream) (answer *Answer, body *buffer, fail failure) {
+	body = &buffer{memory: f.service.opts.Memory, limit: maxAnswerBytes}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timedOut := f.limitAttempt(ctx, cancel, u)
@@ -67,20 +69,17 @@
 		if expired || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			f.reportTimeout(a)
 		}
-		return nil, nil, sendFailure(err, expired)
+		return nil, body, sendFailure(err, expired)
 	}
 	if fail, ok := headerFailure(a.answer); !ok {
-		return nil, nil, fail
+		return nil, body, fail
 	}
 	f.reportOutcome(a, a.answer.Successful())
 	f.firstByte = f.elapsed()
-	body, err = io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return nil, nil, failure{code: result.StreamCut, reason: errors.Wrap(err, "read answer").Error(), unreachable: timedOut()}
-	case len(body) > maxAnswerBytes:
-		return nil, nil, failure{code: result.AnswerTooLarge, reason: "the answer is too large"}
-	case !a.answer.Successful():
+	if err := body.readAll(a.answer.Body); err != nil {
+		return nil, body, bodyFailure(err, timedOut())
+	}
+	if !a.answer.Successful() {
 		return a.answer, body, failure{code: result.UpstreamError, reason: "the application reports a failure", reported: true}
 	}
 	f.recordSuccess(u)
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -16,6 +16,7 @@
 	NotFound               Code = 110
 	MethodNotAllowed       Code = 111
 	OperatorKeyRequired    Code = 112
+	RequestTimeout         Code = 113
 )
 
 // Codes 2xx: the request exceeds the current capacity or a limit.
@@ -101,6 +102,7 @@
 	{NotFound, "not_found", 404, "No such path, service or model."},
 	{MethodNotAllowed, "method_not_allowed", 405, "The path does not accept the method."},
 	{OperatorKeyRequired, "operator_key_required", 401, "The operator interface needs a valid operator key."},
+	{RequestTimeout, "request_timeout", 408, "The request did not arrive completely in time."},
 	{QueueFull, "queue_full", 429, "The admission queue of the organisation or class is full."},
 	{DeadlineUnmeetable, "deadline_unmeetable", 503, "The request cannot be answered before its deadline."},
 	{RateLimited, "rate_limited", 429, "The organisation's rate limit is reached."},
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -34,9 +34,23 @@
 	Domains map[string]string `toml:"domains"`
 	Store   Store             `toml:"store"`
 	Bounds  Bounds            `toml:"bounds"`
+	Limits  Limits            `toml:"limits"`
 	Log     Log               `toml:"log"`
 }
 
+// Limits is the size of the node's own host. Hosts of one fleet differ.
+type Limits struct {
+	// MemoryMB is the memory of the process in MB; the platform kills a process
+	// that exceeds it.
+	MemoryMB int `toml:"memory_mb"`
+}
+
+// defaultMemoryMB is the assumed memory of a host that states none.
+const defaultMemoryMB = 256
+
+// MemoryBytes returns Limits.MemoryMB in bytes.
+func (r *Router) MemoryBytes() int64 { return int64(r.Limits.MemoryMB) << 20 }
+
 // Store is the platform's object store.
 type Store struct {
 	Address string `toml:"address"`
@@ -104,6 +118,9 @@
 	}
 	setDefault(&r.Log.Level, "info")
 	setDefault(&r.Log.Format, "json")
+	if r.Limits.MemoryMB == 0 {
+		r.Limits.MemoryMB = defaultMemoryMB
+	}
 	c := &checker{positions: positions}
 	c.required("host", r.Host)
 	c.required("region", r.Region)
@@ -116,6 +133,9 @@
 	c.port("peer_port", r.PeerPort)
 	c.port("metrics_port", r.MetricsPort)
 	c.bounds(&r.Bounds)
+	if r.Limits.MemoryMB < 0 {
+		c.fail("limits.memory_mb", "limits.memory_mb is below zero")
+	}
 	if r.Domains[r.FailureDomain] != r.Region {
 		c.fail("domains", "domains lists failure domain %q in region %q, not %q", r.FailureDomain, r.Domains[r.FailureDomain], r.Region)
 	}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -229,11 +231,16 @@
 	return max(next, from), changes, nil
 }
 
-// apply decodes one object and passes it to the tracker. The caller holds the
-// lock.
-func (s *Service) apply(kind Kind, c Change, now time.Time) bool {
+// apply decodes one object and passes it to the tracker. A panic ends only this
+// object. The caller holds the lock.
+func (s *Service) apply(kind Kind, c Change, now time.Time) (changed bool) {
 	var err error
-	changed := false
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error(eventlog.ObjectRefused, "kind", kind.String(), "object", c.Object.Name, "revision", c.Object.Revision,
+				"panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
 	switch kind {
 	case Configurations:
 		var config *topology.Config
