canary, storeview: a rollout's time counts from the estimated request

The ramp also logged each small change of the share.

Change: a change found by a call without a wait is dated half-way to the last confirmation, at most 1.25 s back; the ramp has four steps.

--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -6,6 +6,7 @@
 package canary
 
 import (
+	"math"
 	"time"
 
 	"cassiapin/pkg/topology"
@@ -20,6 +21,8 @@
 const (
 	canaryEnd  = 0.5
 	rampLength = 0.03
+	// rampSteps is the number of steps of the ramp; each is logged.
+	rampSteps = 4
 	// earliestRamp and latestRamp bound the start of the ramp. A node that
 	// hears of no start begins at latestRamp.
 	earliestRamp = 0.6
@@ -94,6 +97,9 @@
 func sameRollout(a, b *topology.Rollout) bool { return a.Created == b.Created && a.Target == b.Target }
 
 func newRollout(r *topology.Rollout, now time.Time) *rollout {
+	if !r.Appeared.IsZero() {
+		now = r.Appeared
+	}
 	return &rollout{object: r, started: now, ownStats: make(Stats), peers: make(map[string]peerReport)}
 }
 
@@ -123,7 +129,8 @@
 		return canary
 	}
 	risen := float64(elapsed-start) / float64(ro.fractionOf(rampLength))
-	return min(1, canary+(1-canary)*risen)
+	step := math.Floor(risen*rampSteps) + 1
+	return min(1, canary+(1-canary)*step/rampSteps)
 }
 
 // fractionOf returns a fraction of the rollout's duration.
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -89,15 +89,15 @@
 	var changes []Change
 	switch {
 	case !f.listed:
-		if f.from, err = s.list(ctx, f.kind); err == nil {
+		if f.from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.listed, f.latency, f.changed = true, max(s.clock.Since(start), 1), f.from
 		}
 	case f.latency == 0:
-		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout); err == nil {
+		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
 			f.latency = max(s.clock.Since(start), 1)
 		}
 	default:
-		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency))
+		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
 	}
 	if err == nil {
 		// An answer confirms the state at the time of the answer; a change
@@ -115,6 +115,20 @@
 	return err
 }
 
+// maxAppearedLead bounds how far back changedBetween estimates: a node that was
+// cut off for longer knows less than the others.
+const maxAppearedLead = 1250 * time.Millisecond
+
+// changedBetween estimates when a change happened that a call without a wait
+// finds: half-way between the last confirmation and now. A watch that waits
+// returns changes at once. It returns zero if nothing is known.
+func (f *follower) changedBetween(now time.Time) time.Time {
+	if f.verified.IsZero() {
+		return time.Time{}
+	}
+	return now.Add(-min(now.Sub(f.verified)/2, maxAppearedLead))
+}
+
 // recordLatestProgress records the revision up to which this node knows the
 // kind, from the store or from other nodes.
 func (f *follower) recordLatestProgress() {
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -303,7 +303,7 @@
 		s.tracker.ConfirmedByPeer(f.kind)
 		changed := false
 		for _, c := range n.changes() {
-			changed = s.apply(f.kind, c, now) || changed
+			changed = s.apply(f.kind, c, now, time.Time{}) || changed
 		}
 		return changed
 	})
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -193,7 +193,9 @@
 	return true
 }
 
-func (s *Service) list(ctx context.Context, kind Kind) (topology.Revision, error) {
+// list reads all objects of a kind. New ones appeared at the given time, or just
+// now if it is zero.
+func (s *Service) list(ctx context.Context, kind Kind, appeared time.Time) (topology.Revision, error) {
 	objects, from, err := s.opts.Store.List(ctx, kind)
 	if err != nil {
 		return 0, err
@@ -205,15 +207,17 @@
 		changed := false
 		for _, o := range objects {
 			present[o.Name] = true
-			changed = s.apply(kind, Change{Object: o}, now) || changed
+			changed = s.apply(kind, Change{Object: o}, now, appeared) || changed
 		}
 		return s.tracker.Retain(kind, present, now) || changed
 	})
 	return from, nil
 }
 
+// watch reads the changes of a kind after a revision. They occurred at the time
+// appeared, or just now if it is zero.
 func (s *Service) watch(
-	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration,
+	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration, appeared time.Time,
 ) (topology.Revision, []Change, error) {
 	changes, next, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
@@ -224,7 +228,7 @@
 		s.tracker.StoreAnswered(kind, now)
 		changed := false
 		for _, c := range changes {
-			changed = s.apply(kind, c, now) || changed
+			changed = s.apply(kind, c, now, appeared) || changed
 		}
 		return changed
 	})
@@ -233,7 +237,7 @@
 
 // apply decodes one object and passes it to the tracker. A panic ends only this
 // object. The caller holds the lock.
-func (s *Service) apply(kind Kind, c Change, now time.Time) (changed bool) {
+func (s *Service) apply(kind Kind, c Change, now, appeared time.Time) (changed bool) {
 	var err error
 	defer func() {
 		if p := recover(); p != nil {
@@ -262,6 +266,7 @@
 		}
 		var r *topology.Rollout
 		if r, err = s.opts.Decoder.Rollout(c.Object); err == nil {
+			r.Appeared = appeared
 			changed = s.tracker.SetRollout(c.Object.Name, r)
 			s.log.Info(eventlog.RolloutRead, "service", r.Service, "target", r.Target, "state", r.State.String(),
 				"revision", r.Revision, "duration_ms", r.Duration.Milliseconds())
--- a/pkg/storeview/tracker_test.go
+++ b/pkg/storeview/tracker_test.go
@@ -116,3 +116,23 @@
 		t.Error("a new rollout was not accepted")
 	}
 }
+
+// TestChangedBetween guards against a rollout whose time is counted from when a
+// node learns of it after an outage, which would end it after its deadline.
+func TestChangedBetween(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name     string
+		verified time.Time
+		want     time.Time
+	}{
+		{"first list", time.Time{}, time.Time{}},
+		{"short outage", now.Add(-2 * time.Second), now.Add(-time.Second)},
+		{"long outage", now.Add(-time.Minute), now.Add(-maxAppearedLead)},
+	} {
+		f := &follower{verified: tc.verified}
+		if got := f.changedBetween(now); !got.Equal(tc.want) {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -238,6 +238,9 @@
 	// Created identifies the rollout; Revision is that of its last change.
 	Created  Revision
 	Revision Revision
+	// Appeared is the estimated time at which the rollout was requested if this
+	// node learnt of it late; zero if it learnt of it at once.
+	Appeared time.Time
 }
 
 // View is a snapshot of a node's view of the fleet.
