storeview, edge, membership: store calls that do not grow with nodes

Change: a configuration spreads over a tree in each failure domain, whose root reads it from the store; a node that gets no answer from its parent in a quarter of the bound reads it itself. Notices carry a digest of the objects, so that equal objects need no call. A node that knows of others in the store does not read it for them before it has joined. An unknown certificate waits up to 350 ms to be vouched for by a member's record, and lists are shared. Three nodes instead of all refresh the seeds.

--- a/pkg/edge/directory_test.go
+++ b/pkg/edge/directory_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -65,3 +66,44 @@
 		t.Errorf("readers of a single node: %v, want the node itself", got)
 	}
 }
+
+// TestTree guards against a node that no configuration reaches: in each failure
+// domain the parents lead to one root within a few steps, and no node has more
+// children than the fan-out.
+func TestTree(t *testing.T) {
+	var members []peer.Member
+	for i := range 50 {
+		members = append(members, peer.Member{
+			ID: peer.NodeID(fmt.Sprint("n", i)), State: peer.Alive, FailureDomain: fmt.Sprint("d", i%2),
+		})
+	}
+	members = append(members, peer.Member{ID: "gone", State: peer.Leaving, FailureDomain: "d0"})
+	roots, children := map[string]int{}, map[peer.NodeID]int{}
+	for _, m := range members[:50] {
+		steps := 0
+		for at := m.ID; ; steps++ {
+			parent, ok := parentOf(members, at)
+			if !ok {
+				break
+			}
+			if at == m.ID {
+				children[parent]++
+			}
+			at = parent
+		}
+		if steps == 0 {
+			roots[m.FailureDomain]++
+		}
+		if steps > 3 {
+			t.Errorf("%s is %d steps from the root", m.ID, steps)
+		}
+	}
+	if roots["d0"] != 1 || roots["d1"] != 1 {
+		t.Errorf("roots %v, want one in each domain", roots)
+	}
+	for id, n := range children {
+		if n > treeFanOut || id == "gone" {
+			t.Errorf("%s has %d children", id, n)
+		}
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -97,10 +97,11 @@
 	n.members = membership.New(membership.Options{
 		Self: peer.Member{
 			PeerAddress: s.PeerAddress(), EntryAddress: s.Entry, AdminAddress: s.Ready,
-			Region: s.Region, FailureDomain: s.FailureDomain,
+			Region: s.Region, FailureDomain: s.FailureDomain, Fingerprint: n.registry.own.Fingerprint,
 		},
 		Seeds: s.PeerSeeds(), SeedSource: n.registry,
 	})
+	n.registry.live = n.members.Live
 	nodes := &fleet{members: n.members, msgr: transport, registry: n.registry, region: s.Region}
 	n.storeView = storeview.New(storeview.Options{
 		Store: store, Decoder: platform.Translator{Regions: s.Domains},
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -178,14 +178,52 @@
 	return reply, err
 }
 
+// QueryParent implements storeview.Peers.
+func (n notices) QueryParent(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
+	parent, ok := parentOf(n.members.Live(), n.msgr.Self())
+	if !ok {
+		return reply, storeview.ErrNoParent
+	}
+	err = n.msgr.Request(ctx, parent, kindQuery, q, &reply)
+	return reply, err
+}
+
+// treeFanOut is the number of children of a node in the tree of its failure
+// domain: a configuration reaches 50 nodes in three steps, and a slow link
+// carries it four times.
+const treeFanOut = 4
+
+// parentOf returns a node's parent in the tree of its failure domain. The root
+// is the node that ranks first for reading the store.
+func parentOf(members []peer.Member, self peer.NodeID) (parent peer.NodeID, ok bool) {
+	domain := ""
+	for _, m := range members {
+		if m.ID == self {
+			domain = m.FailureDomain
+		}
+	}
+	var near []peer.Member
+	for _, m := range members {
+		if m.FailureDomain == domain && (m.State == peer.Alive || m.ID == self) {
+			near = append(near, m)
+		}
+	}
+	order := peer.Rendezvous("readers", near, len(near))
+	place := slices.IndexFunc(order, func(m peer.Member) bool { return m.ID == self })
+	if place <= 0 {
+		return "", false
+	}
+	return order[(place-1)/treeFanOut].ID, true
+}
+
 // HandleQueries implements storeview.Peers.
-func (n notices) HandleQueries(handle func(q storeview.Query) (storeview.Reply, error)) {
-	n.msgr.Handle(kindQuery, func(_ context.Context, _ peer.NodeID, body []byte) (any, error) {
+func (n notices) HandleQueries(handle func(ctx context.Context, q storeview.Query) (storeview.Reply, error)) {
+	n.msgr.Handle(kindQuery, func(ctx context.Context, _ peer.NodeID, body []byte) (any, error) {
 		var q storeview.Query
 		if err := peer.Decode(body, &q); err != nil {
 			return nil, err
 		}
-		reply, err := handle(q)
+		reply, err := handle(ctx, q)
 		if err != nil {
 			return nil, err
 		}
@@ -193,9 +231,15 @@
 	})
 }
 
-// Rank implements storeview.Peers.
+// Rank implements storeview.Peers. A node that has not joined the other nodes in
+// the store does not read it for them yet: when many nodes start at once, each
+// would be the first reader of its own fleet.
 func (n notices) Rank() int {
-	ids := readers(n.members.Live())
+	live := n.members.Live()
+	if len(live) <= 1 && n.registry.nodeCount() > 1 {
+		return storeview.Readers
+	}
+	ids := readers(live)
 	if place := slices.Index(ids, n.msgr.Self()); place >= 0 {
 		return place
 	}
--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/storeview"
 	"cassiapin/pkg/topology"
 )
@@ -42,11 +45,20 @@
 	// listPause is the shortest time between two lists, so that repeated
 	// handshakes with unknown certificates do not each cost a store call.
 	listPause = 500 * time.Millisecond
+	// vouchWaitMin and vouchWaitMax bound the random time that a handshake with
+	// an unknown certificate waits for another node to report it before the
+	// store is listed. When many nodes start at once, most of them have an
+	// entry by then; a single new node is looked up by the first few it meets.
+	vouchWaitMin = 50 * time.Millisecond
+	vouchWaitMax = 350 * time.Millisecond
+	// vouchPollInterval is the pause between two looks at the members.
+	vouchPollInterval = 25 * time.Millisecond
 )
 
 // registry establishes trust between the nodes, based on write access to the
 // store: each node publishes its certificate's fingerprint there, and only
-// published certificates are accepted. It also provides the number and addresses
+// published certificates are accepted, and those that a trusted node reports in
+// its list of members. It also provides the number and addresses
 // of the nodes before this one has joined them.
 type registry struct {
 	kernel.Base
@@ -54,11 +66,18 @@
 	host  string
 	own   entry
 	log   *slog.Logger
+	// live returns the live members that trusted nodes have reported; it is set
+	// before the first handshake.
+	live func() []peer.Member
 
+	// listing serializes the lists.
+	listing sync.Mutex
+	// mu guards the fields below.
 	mu      sync.Mutex
 	trusted map[string]bool
 	seeds   []string
-	listed  time.Time
+	// listed is the start of the latest list.
+	listed time.Time
 }
 
 func newRegistry(store entryStore, host string, own entry) *registry {
@@ -97,7 +116,7 @@
 		r.log.Warn(eventlog.NotRegistered, "host", r.host, "error", err.Error())
 		return false
 	}
-	r.refresh(ctx)
+	r.refresh(ctx, time.Now())
 	r.log.Info(eventlog.Registered, "host", r.host, "fingerprint", r.own.Fingerprint, "nodes", r.nodeCount())
 	return true
 }
@@ -111,12 +130,17 @@
 
 // isTrusted reports whether a certificate belongs to a node of the fleet.
 func (r *registry) isTrusted(fingerprint string) bool {
+	arrived := time.Now()
+	wait := vouchWaitMin + rand.N(vouchWaitMax-vouchWaitMin)
+	for !r.has(fingerprint) && time.Since(arrived) < wait {
+		time.Sleep(vouchPollInterval)
+	}
 	if r.has(fingerprint) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	r.refresh(ctx)
+	r.refresh(ctx, arrived)
 	known := r.has(fingerprint)
 	if !known {
 		r.log.Warn(eventlog.PeerRefused, "fingerprint", fingerprint, "known", r.nodeCount())
@@ -126,8 +150,12 @@
 
 func (r *registry) has(fingerprint string) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.trusted[fingerprint]
+	trusted := r.trusted[fingerprint]
+	r.mu.Unlock()
+	if trusted || r.live == nil {
+		return trusted
+	}
+	return slices.ContainsFunc(r.live(), func(m peer.Member) bool { return m.Fingerprint == fingerprint })
 }
 
 // nodeCount is the number of nodes with an entry, this one included.
@@ -137,18 +165,26 @@
 	return max(len(r.seeds), 1)
 }
 
-// refresh reads the entries, unless they were read less than listPause ago. A
-// certificate stays trusted until its host's entry is found replaced or removed.
-func (r *registry) refresh(ctx context.Context) {
+// refresh reads the entries, unless a list has begun after the given time, and
+// at most once in listPause. A certificate stays trusted until its host's entry
+// is found replaced or removed.
+func (r *registry) refresh(ctx context.Context, after time.Time) {
+	r.listing.Lock()
+	defer r.listing.Unlock()
 	r.mu.Lock()
-	recent := time.Since(r.listed) < listPause
-	if !recent {
-		r.listed = time.Now()
-	}
+	listed := r.listed
 	r.mu.Unlock()
-	if recent {
+	if listed.After(after) {
 		return
 	}
+	select {
+	case <-time.After(listPause - time.Since(listed)):
+	case <-ctx.Done():
+		return
+	}
+	r.mu.Lock()
+	r.listed = time.Now()
+	r.mu.Unlock()
 	objects, _, err := r.store.List(ctx, storeview.Nodes)
 	if err != nil {
 		r.log.Warn(eventlog.StoreLost, "kind", storeview.Nodes.String(), "error", err.Error())
@@ -172,7 +208,7 @@
 
 // Seeds implements membership.SeedSource.
 func (r *registry) Seeds(ctx context.Context) ([]string, error) {
-	r.refresh(ctx)
+	r.refresh(ctx, time.Now().Add(-listPause))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.seeds) == 0 {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -461,3 +461,21 @@
 		}
 	})
 }
+
+// TestSeedPause guards against a fleet whose queries of the seed source grow
+// with its size, and against a small group that queries too rarely to find the
+// others.
+func TestSeedPause(t *testing.T) {
+	for _, tc := range []struct {
+		live     int
+		min, max float64 // Queries of the whole group per seedRefreshInterval.
+	}{{2, 1, 2.1}, {3, 2.9, 3.1}, {18, 2.9, 3.1}, {410, 2.9, 3.1}} {
+		queries := float64(tc.live) * float64(seedRefreshInterval) / float64(seedPause(tc.live, 0.5))
+		if queries < tc.min || queries > tc.max {
+			t.Errorf("%d nodes: %.1f queries per interval, want %.1f to %.1f", tc.live, queries, tc.min, tc.max)
+		}
+	}
+	if early, late := seedPause(18, 0), seedPause(18, 0.999); early >= late/2 {
+		t.Errorf("the queries of 18 nodes are not spread: %s to %s", early, late)
+	}
+}
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -56,11 +56,14 @@
 	// stallThreshold is the interval between two ticks above which probe timeouts
 	// are ignored, because this process was paused and not its peers.
 	stallThreshold = 400 * time.Millisecond
-	// seedRefreshInterval is the period at which the SeedSource is queried. While
+	// seedRefreshInterval is the mean period at which some seedReaders of the
+	// nodes that know each other query the SeedSource: nodes that know only a
+	// part of the fleet find the others by it, however many they are. While
 	// it fails, or this node knows no other live node, it is queried with
 	// exponential backoff that starts at seedRetry.
 	seedRefreshInterval = 30 * time.Second
 	seedRetry           = time.Second
+	seedReaders         = 3
 )
 
 // SeedSource discovers further seed addresses, for example from the host list.
@@ -283,8 +286,9 @@
 				s.resetReconnectBackoff(now)
 			})
 		}
-		pause := seedRefreshInterval
-		if err != nil || len(s.Live()) <= 1 {
+		live := len(s.Live())
+		pause := seedPause(live, rand.Float64())
+		if err != nil || live <= 1 {
 			retry = min(max(2*retry, seedRetry), seedRefreshInterval)
 			pause = retry
 		} else {
@@ -296,6 +300,13 @@
 	}
 }
 
+// seedPause returns the pause before the next query of the SeedSource by one of
+// live nodes; random is uniform in [0, 1).
+func seedPause(live int, random float64) time.Duration {
+	mean := float64(seedRefreshInterval) * max(1, float64(live)/seedReaders)
+	return time.Duration(mean * (0.5 + random))
+}
+
 // Tick runs all work that is due. Run calls it every TickInterval.
 func (s *Service) Tick() {
 	s.withLock(func(now time.Time) {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -26,13 +26,14 @@
 	Region        string      `cbor:"7,keyasint,omitempty"`
 	FailureDomain string      `cbor:"8,keyasint,omitempty"`
 	Ready         bool        `cbor:"9,keyasint,omitempty"`
+	Fingerprint   string      `cbor:"10,keyasint,omitempty"`
 }
 
 func fullRecord(m peer.Member) record {
 	return record{
 		ID: m.ID, State: m.State, Incarnation: m.Incarnation,
 		PeerAddress: m.PeerAddress, EntryAddress: m.EntryAddress, AdminAddress: m.AdminAddress,
-		Region: m.Region, FailureDomain: m.FailureDomain, Ready: m.Ready,
+		Region: m.Region, FailureDomain: m.FailureDomain, Ready: m.Ready, Fingerprint: m.Fingerprint,
 	}
 }
 
@@ -55,7 +56,7 @@
 	if r.Incarnation > maxIncarnation {
 		return false
 	}
-	for _, text := range []string{string(r.ID), r.PeerAddress, r.EntryAddress, r.AdminAddress, r.Region, r.FailureDomain} {
+	for _, text := range []string{string(r.ID), r.PeerAddress, r.EntryAddress, r.AdminAddress, r.Region, r.FailureDomain, r.Fingerprint} {
 		if len(text) > maxFieldBytes {
 			return false
 		}
@@ -71,7 +72,7 @@
 	return peer.Member{
 		ID: r.ID, State: r.State, Incarnation: r.Incarnation,
 		PeerAddress: r.PeerAddress, EntryAddress: r.EntryAddress, AdminAddress: r.AdminAddress,
-		Region: r.Region, FailureDomain: r.FailureDomain, Ready: r.Ready,
+		Region: r.Region, FailureDomain: r.FailureDomain, Ready: r.Ready, Fingerprint: r.Fingerprint,
 	}
 }
 
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -58,6 +58,9 @@
 	Incarnation   uint64 `json:"incarnation" cbor:"8,keyasint"`
 	// Ready reports whether the node has a configuration and serves callers.
 	Ready bool `json:"ready" cbor:"9,keyasint"`
+	// Fingerprint is that of the node's certificate if it was generated at its
+	// start; other nodes accept it because a node that they trust reports it.
+	Fingerprint string `json:"fingerprint,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Members is a node's view of the membership.
--- /dev/null
+++ b/pkg/storeview/digest_test.go
@@ -0,0 +1,100 @@
+package storeview
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/topology"
+)
+
+// TestDigest guards against two nodes with different objects and equal digests,
+// and against equal objects with different digests after changes in any order.
+func TestDigest(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	objects := make(map[string]topology.Revision)
+	incremental := newDigest(nil)
+	for revision := topology.Revision(1); revision < 2000; revision++ {
+		before := incremental.value()
+		name := strconv.Itoa(random.Intn(40))
+		_, known := objects[name]
+		deleted := known && random.Intn(3) == 0
+		if deleted {
+			delete(objects, name)
+		} else {
+			objects[name] = revision
+		}
+		incremental.apply(Change{Object: Object{Name: name, Revision: revision}, Deleted: deleted})
+		var list []Object
+		for name, revision := range objects {
+			list = append(list, Object{Name: name, Revision: revision})
+		}
+		random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		if got := newDigest(list).value(); got != incremental.value() {
+			t.Fatalf("revision %d: digest of the list %x, of the changes %x", revision, got, incremental.value())
+		}
+		if incremental.value() == before || incremental.value() == 0 {
+			t.Fatalf("revision %d: the digest does not show the change", revision)
+		}
+	}
+}
+
+// TestSameObjects guards against a store call for a notice that gives a later
+// revision for the objects that a node has.
+func TestSameObjects(t *testing.T) {
+	f := &follower{service: New(Options{}), kind: Upstreams, listed: true, from: 5}
+	f.service.clock = clock.Real{}
+	objects := []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 5}}
+	f.service.digests[Upstreams] = newDigest(objects)
+	same := Notice{Kind: Upstreams, From: 9, To: 12, Complete: true, digest: newDigest(objects).value()}
+	other := same
+	other.digest = newDigest(objects[:1]).value()
+	unknown := same
+	unknown.digest = 0
+	if f.applyNotice(other) || f.applyNotice(unknown) || f.from != 5 {
+		t.Error("a notice about other objects is applied")
+	}
+	if !f.applyNotice(same) || f.from != 12 {
+		t.Errorf("a notice about the same objects is not applied; revision %d", f.from)
+	}
+}
+
+// configurationFleet starts a reader, the root of a tree, and a child of it.
+func configurationFleet(t *testing.T) (store *fakeStore, child *hubPeer, calls *client, service *Service) {
+	t.Helper()
+	store = newFakeStore()
+	h := &hub{}
+	waitFor(t, startWith(t, &client{fakeStore: store}, h.join(0)), 1, time.Second)
+	root := h.join(Readers)
+	waitFor(t, startWith(t, &client{fakeStore: store}, root), 1, time.Second)
+	child = h.join(Readers)
+	child.parent = root
+	calls = &client{fakeStore: store}
+	service = startWith(t, calls, child)
+	waitFor(t, service, 1, time.Second)
+	time.Sleep(effectiveIn / 2) // Its first calls are over.
+	return store, child, calls, service
+}
+
+// TestConfigurationFromParent guards against a store call of every node for each
+// configuration, which grows with the fleet.
+func TestConfigurationFromParent(t *testing.T) {
+	store, _, calls, service := configurationFleet(t)
+	before := calls.calls.Load()
+	store.set(func() { store.version += 2 })
+	waitFor(t, service, 3, effectiveIn)
+	if n := calls.calls.Load() - before; n > 0 {
+		t.Errorf("the node called the store %d times", n)
+	}
+}
+
+// TestFrozenParent guards against a configuration that does not take effect in
+// time because the node that should forward it is frozen.
+func TestFrozenParent(t *testing.T) {
+	store, child, _, service := configurationFleet(t)
+	child.parentFrozen.Store(true)
+	store.set(func() { store.version += 2 })
+	waitFor(t, service, 3, effectiveIn)
+}
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -45,6 +45,8 @@
 	// pending is the latest revision announced by notices that did not include
 	// the changes.
 	pending topology.Revision
+	// asked is the latest pending revision that the parent was asked for.
+	asked topology.Revision
 	// latency is the duration of a call without a wait; zero requests such a
 	// call, which measures it.
 	latency     time.Duration
@@ -60,6 +62,9 @@
 	coalesce := time.Duration(coalesceShare * float64(s.opts.EffectiveIn[kind]))
 	for ctx.Err() == nil {
 		f.consumeNotices(ctx)
+		if f.queryParent(ctx) {
+			continue
+		}
 		start := s.clock.Now()
 		err := f.call(ctx)
 		switch {
@@ -108,7 +113,7 @@
 		}
 		f.recordLatestProgress()
 		s.mu.Lock()
-		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified}
+		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value()}
 		s.mu.Unlock()
 		f.publishChanges(before, changes)
 	}
@@ -135,7 +140,15 @@
 	s := f.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.latestProgress[f.kind] = progress{f.from, f.changed, f.verified}
+	s.latestProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value()}
+}
+
+// digest returns the digest of the kind's current state.
+func (f *follower) digest() uint64 {
+	s := f.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digests[f.kind].value()
 }
 
 // wait is the longest wait of a watch of the kind.
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -30,8 +30,10 @@
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
 
-	// ageMS is the age of the sender's state; the receiver sets it.
-	ageMS int64
+	// ageMS is the age of the sender's state and digest its digest, zero if
+	// unknown; the receiver sets them.
+	ageMS  int64
+	digest uint64
 }
 
 // Readers is the number of nodes that read the store for all: one can fail and
@@ -56,6 +58,8 @@
 	// Changed is a revision such that the kind did not change after it, up to
 	// Revision.
 	Changed topology.Revision `cbor:"4,keyasint,omitempty"`
+	// Digest identifies the objects of the kind at Revision; zero is unknown.
+	Digest uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // NoticeChange is one change in a notice.
@@ -82,8 +86,12 @@
 	Receive(handle func(n Notice))
 	// Query sends a query to a nearby node.
 	Query(ctx context.Context, q Query) (Reply, error)
+	// QueryParent sends a query to this node's parent in the tree of its failure
+	// domain, over which a configuration spreads. It returns ErrNoParent at the
+	// root, which reads the store.
+	QueryParent(ctx context.Context, q Query) (Reply, error)
 	// HandleQueries registers the handler of queries from other nodes.
-	HandleQueries(handle func(q Query) (Reply, error))
+	HandleQueries(handle func(ctx context.Context, q Query) (Reply, error))
 }
 
 const (
@@ -174,13 +182,14 @@
 	defer s.mu.Unlock()
 	p := s.storeProgress[kind]
 	age := s.clock.Since(p.verified)
-	return KnownRevision{Kind: kind, Revision: p.from, Changed: p.changed, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
+	return KnownRevision{Kind: kind, Revision: p.from, Changed: p.changed, Digest: p.digest, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
 }
 
 // progress is the revision up to which a follower knows its kind.
 type progress struct {
 	from, changed topology.Revision
 	verified      time.Time
+	digest        uint64
 }
 
 func noticeChanges(changes []Change) []NoticeChange {
@@ -221,7 +230,7 @@
 		if from == 0 {
 			from = k.Revision // Sent by a release without this field.
 		}
-		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, ageMS: k.AgeMS})
+		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, ageMS: k.AgeMS, digest: k.Digest})
 	}
 	if len(n.Known) == 0 {
 		s.queue(n)
@@ -279,6 +288,8 @@
 	switch {
 	case n.To < f.from:
 		return true // From a reader that lags; it has nothing new.
+	case n.digest != 0 && n.digest == f.digest():
+		// This node has the same objects, also if it has not read up to n.From.
 	case n.To > f.from && (!n.Complete || n.From > f.from):
 		f.latency = 0 // Makes the next call without a wait.
 		f.pending = max(f.pending, n.To)
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,7 +43,7 @@
 type hub struct {
 	mu       sync.Mutex
 	handlers []func(Notice)
-	answers  []func(Query) (Reply, error)
+	answers  []func(context.Context, Query) (Reply, error)
 }
 
 // hubPeer connects one service to a hub.
@@ -50,6 +51,9 @@
 	hub   *hub
 	rank  int
 	index int
+	// parent is nil at the root; parentFrozen keeps it from answering.
+	parent       *hubPeer
+	parentFrozen atomic.Bool
 	// dropNotices discards the notices that the service sends.
 	dropNotices atomic.Bool
 }
@@ -83,23 +87,39 @@
 	s.hub.handlers[s.index] = handle
 }
 
-func (s *hubPeer) HandleQueries(handle func(Query) (Reply, error)) {
+func (s *hubPeer) HandleQueries(handle func(context.Context, Query) (Reply, error)) {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
 	s.hub.answers[s.index] = handle
 }
 
-func (s *hubPeer) Query(_ context.Context, q Query) (Reply, error) {
+func (s *hubPeer) Query(ctx context.Context, q Query) (Reply, error) {
 	s.hub.mu.Lock()
-	defer s.hub.mu.Unlock()
-	for i, answer := range s.hub.answers {
+	answers := slices.Clone(s.hub.answers)
+	s.hub.mu.Unlock()
+	for i, answer := range answers {
 		if i != s.index && answer != nil {
-			return answer(q)
+			return answer(ctx, q)
 		}
 	}
 	return Reply{}, errUnavailable
 }
 
+// QueryParent asks the node with the index parent.
+func (s *hubPeer) QueryParent(ctx context.Context, q Query) (Reply, error) {
+	if s.parent == nil {
+		return Reply{}, ErrNoParent
+	}
+	if s.parentFrozen.Load() {
+		<-ctx.Done()
+		return Reply{}, ctx.Err()
+	}
+	s.hub.mu.Lock()
+	answer := s.hub.answers[s.parent.index]
+	s.hub.mu.Unlock()
+	return answer(ctx, q)
+}
+
 // fleet starts a reader and a node that relies on its notices.
 func fleet(t *testing.T) (store *fakeStore, listener *client, service *Service) {
 	t.Helper()
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -14,6 +14,9 @@
 type Query struct {
 	Kind  Kind              `cbor:"1,keyasint"`
 	After topology.Revision `cbor:"2,keyasint"`
+	// WaitMS is how long the receiver waits for a later revision if it knows
+	// none yet.
+	WaitMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Query.
@@ -27,6 +30,48 @@
 // of a few hundred KB at most, from the same region.
 const peerQueryTimeout = 800 * time.Millisecond
 
+const (
+	// parentWaitShare is how long a node's parent may wait until it has a
+	// configuration itself, and parentTimeoutShare how long the node waits for
+	// the answer, as fractions of Options.EffectiveIn. Then the node reads the
+	// store.
+	parentWaitShare    = 0.15
+	parentTimeoutShare = 0.25
+)
+
+// ErrNoParent is returned to the root of a tree.
+var ErrNoParent = errors.New("this node has no parent")
+
+// queryParent fetches a configuration announced by notices from this node's
+// parent, so that only the root of each failure domain reads it from the store.
+// It returns false if the store has to be read.
+func (f *follower) queryParent(ctx context.Context) bool {
+	s := f.service
+	if f.kind != Configurations || !f.listed || f.pending <= max(f.from, f.asked) || s.opts.Peers == nil || s.rank() < Readers {
+		return false
+	}
+	f.asked = f.pending
+	limit := float64(s.opts.EffectiveIn[f.kind])
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(parentTimeoutShare*limit))
+	defer cancel()
+	wait := time.Duration(parentWaitShare * limit)
+	r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, After: f.from, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		if !errors.Is(err, ErrNoParent) {
+			s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		}
+		return false
+	}
+	return f.applyReply(r)
+}
+
+// applyReply applies the answer of another node.
+func (f *follower) applyReply(r Reply) bool {
+	n := r.Notice
+	n.ageMS = r.AgeMS
+	return n.Kind == f.kind && n.To > f.from && f.applyNotice(n)
+}
+
 // queryPeer fetches a configuration announced by notices from another node when
 // the store does not answer this one.
 func (f *follower) queryPeer(ctx context.Context) bool {
@@ -41,16 +86,33 @@
 		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
 		return false
 	}
-	n := r.Notice
-	n.ageMS = r.AgeMS
-	return n.Kind == f.kind && n.To > f.from && f.applyNotice(n)
+	return f.applyReply(r)
 }
 
 var errNothingNewer = errors.New("no newer revision known")
 
-// answer replies to another node's query. A configuration is a single object, so
-// the newest version includes all changes in between.
-func (s *Service) answer(q Query) (Reply, error) {
+// answerPollInterval is the longest pause between two checks for a newer
+// revision.
+const answerPollInterval = 20 * time.Millisecond
+
+// answer replies to another node's query, and waits for a newer revision as long
+// as the query allows.
+func (s *Service) answer(ctx context.Context, q Query) (Reply, error) {
+	until := s.clock.Now().Add(min(time.Duration(q.WaitMS)*time.Millisecond, peerQueryTimeout))
+	for {
+		reply, err := s.newest(q)
+		if err == nil || !s.clock.Now().Before(until) {
+			return reply, err
+		}
+		if s.clock.Sleep(ctx, answerPollInterval) != nil {
+			return Reply{}, err
+		}
+	}
+}
+
+// newest returns the newest configuration if it is later than the query's. A
+// configuration is a single object, so it includes all changes in between.
+func (s *Service) newest(q Query) (Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.latestProgress[Configurations]
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -114,7 +114,10 @@
 	// guards all three.
 	storeProgress, latestProgress [Nodes]progress
 	config                        Object
-	backoff                       *sharedBackoff
+	// digests identify the current state of each kind; nil before the first
+	// list. mu guards them.
+	digests [Nodes]*digest
+	backoff *sharedBackoff
 }
 
 // New returns a service with an empty view.
@@ -203,6 +206,7 @@
 	s.lastAnswer[kind].Store(s.clock.Now().UnixNano())
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
+		s.digests[kind] = newDigest(objects)
 		present := make(map[string]bool, len(objects))
 		changed := false
 		for _, o := range objects {
@@ -239,6 +243,7 @@
 // object. The caller holds the lock.
 func (s *Service) apply(kind Kind, c Change, now, appeared time.Time) (changed bool) {
 	var err error
+	s.digests[kind].apply(c)
 	defer func() {
 		if p := recover(); p != nil {
 			s.log.Error(eventlog.ObjectRefused, "kind", kind.String(), "object", c.Object.Name, "revision", c.Object.Revision,
