--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -254,6 +254,9 @@
 	s := f.service
 	for f.listed && s.rank() > 0 {
 		left := f.freshFor()
+		if left <= 0 && f.applyQueued() {
+			continue // This process was paused while notices arrived.
+		}
 		if left <= 0 {
 			if s.rank() < Readers {
 				f.latency = 0 // Calls once without a wait, and publishes the result.
@@ -272,6 +275,17 @@
 	}
 }
 
+// applyQueued applies one queued notice. It returns false if there is none, or if
+// the store must be called for it.
+func (f *follower) applyQueued() bool {
+	select {
+	case n := <-f.service.notices[f.kind]:
+		return f.applyNotice(n)
+	default:
+		return false
+	}
+}
+
 // freshFor is the time until the state is stale and the store must be called.
 func (f *follower) freshFor() time.Duration {
 	share := maxNoticeAgeShare
