storeview, edge: views are read again after a pause; large domains share callers

Cause: a process that was frozen or suspended served its next requests from the view and the notices of before the pause, up to 0.72 of a bound old by its own clock, which stands still in a suspension. The directory named the same first 64 addresses of a larger failure domain or region in every answer.

Change: a clock that counts suspensions shows a pause of 1.5 s or more; then each kind is read from the store again, and requests wait for that at their arrival and before each send, at most 0.5 s. Answers of the directory are random samples if there are more than 64 addresses.

--- a/pkg/edge/directory.go
+++ b/pkg/edge/directory.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -30,7 +31,17 @@
 
 // Resolve implements platform.Directory.
 func (d *directory) Resolve(region, domain string) ([]string, time.Duration) {
-	return nearest(d.members.Live(), region, domain), min(directoryTTL, d.maxTTL)
+	return sampleAddresses(nearest(d.members.Live(), region, domain), maxAddresses), min(directoryTTL, d.maxTTL)
+}
+
+// sampleAddresses returns at most n of the addresses, chosen at random for each answer,
+// so that callers are spread over all nodes of a large failure domain.
+func sampleAddresses(addresses []string, n int) []string {
+	if len(addresses) <= n {
+		return addresses
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:n]
 }
 
 // nearest returns the entry addresses of the ready members in the caller's
@@ -58,5 +69,5 @@
 		chosen = inRegion
 	}
 	slices.Sort(chosen)
-	return chosen[:min(len(chosen), maxAddresses)]
+	return chosen
 }
--- a/pkg/edge/directory_test.go
+++ b/pkg/edge/directory_test.go
@@ -107,3 +107,32 @@
 		}
 	}
 }
+
+// TestSample guards against nodes that never get a caller because an answer has
+// no room for all addresses.
+func TestSample(t *testing.T) {
+	var members []peer.Member
+	for i := range 150 {
+		members = append(members, member(fmt.Sprint("n", i), "d", "r", peer.Alive, true))
+	}
+	named := map[string]int{}
+	const answers = 400
+	for range answers {
+		got := sampleAddresses(nearest(members, "r", "d"), maxAddresses)
+		if len(got) != maxAddresses {
+			t.Fatalf("%d addresses", len(got))
+		}
+		for _, address := range got {
+			named[address]++
+		}
+	}
+	for _, m := range members {
+		// The mean is 171 of 400 answers, the standard deviation 10.
+		if n := named[m.EntryAddress]; n < 100 || n > 240 {
+			t.Errorf("%s is in %d of %d answers", m.EntryAddress, n, answers)
+		}
+	}
+	if few := sampleAddresses([]string{"a", "b"}, maxAddresses); len(few) != 2 {
+		t.Errorf("2 addresses become %v", few)
+	}
+}
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -9,6 +9,7 @@
 	SettingsTaken    = "settings taken"
 	SettingsFailed   = "settings refused"
 
+	ProcessPaused  = "process was paused"
 	StoreLost      = "store lost"
 	StoreRegained  = "store regained"
 	HistoryLost    = "store history lost"
@@ -27,6 +28,8 @@
 	AttemptFailed  = "attempt failed"
 	ModelEscalated = "model escalated"
 	StreamResumed  = "stream resumed"
+	RequestTimeout = "request did not arrive in time"
+	RequestPanic   = "request ended with a panic"
 
 	RolloutStarted = "rollout started"
 	RolloutShare   = "rollout share"
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -79,6 +79,7 @@
 func (f *flow) acquire(ctx context.Context, model string) (*topology.Upstream, error) {
 	s := f.service
 	until := f.request.Received.Add(f.route.TargetLatency / holdDivisor)
+	s.opts.Views.AwaitConfirmed(ctx)
 	for {
 		changed := s.opts.Views.Changed()
 		if u := f.choose(model); u != nil {
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,13 +134,15 @@
 
 // fakeNode implements the interfaces through which a service uses its node.
 type fakeNode struct {
-	view *topology.View
-	ids  []string
+	awaited atomic.Int64
+	view    *topology.View
+	ids     []string
 }
 
 func (n *fakeNode) View() *topology.View              { return n.view }
 func (n *fakeNode) Changed() <-chan struct{}          { return nil }
 func (n *fakeNode) Age(storeview.Kind) time.Duration  { return 0 }
+func (n *fakeNode) AwaitConfirmed(context.Context)    { n.awaited.Add(1) }
 func (n *fakeNode) Nodes() []string                   { return n.ids }
 func (n *fakeNode) Self() string                      { return "self" }
 func (n *fakeNode) Peers() []string                   { return nil }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -28,6 +28,9 @@
 	Changed() <-chan struct{}
 	// Age is the time since data of a kind was last confirmed.
 	Age(kind storeview.Kind) time.Duration
+	// AwaitConfirmed returns once the view is known to be current, or cannot be
+	// confirmed, after the process was paused.
+	AwaitConfirmed(ctx context.Context)
 }
 
 // Fleet lists the nodes that serve callers.
@@ -85,6 +88,7 @@
 func (s *Service) Serve(ctx context.Context, r *Request, out Responder) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	s.opts.Views.AwaitConfirmed(ctx)
 	f := &flow{service: s, request: r, out: out, tried: make(map[topology.Incarnation]bool)}
 	if !f.admit() {
 		return
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -246,3 +246,18 @@
 }
 
 var _ io.Closer = resetBody{}
+
+// TestAwaitsView guards against a process that was paused and admits or sends a
+// request by what it knew before the pause.
+func TestAwaitsView(t *testing.T) {
+	svc := newTestService(t)
+	svc.client.scripts["a"] = unreachable
+	svc.client.scripts["b"] = answers(200, "ok")
+	if resp := svc.run("/lookup/"); resp.status != 200 {
+		t.Fatalf("status %d", resp.status)
+	}
+	// At the arrival and before each of two sends.
+	if n := svc.node.awaited.Load(); n != 3 {
+		t.Errorf("the view was awaited %d times, want 3", n)
+	}
+}
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -90,7 +90,7 @@
 // call makes the follower's next call to the store.
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
-	start, before := s.clock.Now(), f.changed
+	start, before, began := s.clock.Now(), f.changed, s.pauses.now()
 	var changes []Change
 	switch {
 	case !f.listed:
@@ -102,9 +102,14 @@
 			f.latency = max(s.clock.Since(start), 1)
 		}
 	default:
+		if s.unconfirmed(f.kind) {
+			f.latency = 0
+			return f.call(ctx)
+		}
 		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
 	}
 	if err == nil {
+		s.confirm(f.kind, began)
 		// An answer confirms the state at the time of the answer; a change
 		// missed by a watch is found by the next call.
 		f.verified = s.clock.Now()
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -253,6 +253,11 @@
 func (f *follower) consumeNotices(ctx context.Context) {
 	s := f.service
 	for f.listed && s.rank() > 0 {
+		paused := s.pauses.nextEnd()
+		if s.unconfirmed(f.kind) {
+			f.latency = 0 // Notices that arrived during a pause are as old as the view.
+			return
+		}
 		left := f.freshFor()
 		if left <= 0 && f.applyQueued() {
 			continue // This process was paused while notices arrived.
@@ -266,9 +271,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-paused:
 		case <-s.clock.After(left):
 		case n := <-s.notices[f.kind]:
-			if !f.applyNotice(n) {
+			if !s.unconfirmed(f.kind) && !f.applyNotice(n) {
 				return
 			}
 		}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -90,6 +90,9 @@
 	Tracker TrackerOptions
 	// EffectiveIn is the time in which a change of each kind must take effect.
 	EffectiveIn map[Kind]time.Duration
+	// BootTime is a clock that also runs while the process or its host is
+	// paused; nil is that of the host.
+	BootTime func() time.Duration
 }
 
 // Service reads the store and publishes views. It is registered as
@@ -117,13 +120,21 @@
 	// digests identify the current state of each kind; nil before the first
 	// list. mu guards them.
 	digests [Nodes]*digest
-	backoff *sharedBackoff
+	// confirmed is the start of the latest successful call of each kind, in
+	// nanoseconds of the clock of pauses.
+	confirmed [Nodes]atomic.Int64
+	pauses    pauses
+	backoff   *sharedBackoff
 }
 
 // New returns a service with an empty view.
 func New(o Options) *Service {
 	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), backoff: newSharedBackoff()}
 	s.view.Store(&topology.View{})
+	s.pauses.now, s.pauses.next = o.BootTime, make(chan struct{})
+	if s.pauses.now == nil {
+		s.pauses.now = bootTime
+	}
 	for kind := range s.notices {
 		s.notices[kind] = make(chan Notice, noticeQueue)
 	}
@@ -157,6 +168,10 @@
 		s.expireLoop(ctx)
 		return nil
 	})
+	t.Go(func() error {
+		s.notePauses(ctx)
+		return nil
+	})
 	if s.opts.Peers != nil {
 		t.Go(func() error {
 			s.publishLoop(ctx)
--- a/pkg/storeview/service_test.go
+++ b/pkg/storeview/service_test.go
@@ -100,9 +100,18 @@
 
 func startWith(t *testing.T, store Store, peers Peers) *Service {
 	t.Helper()
-	s := New(Options{Store: store, Peers: peers, Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{
+	return startOptions(t, Options{Store: store, Peers: peers})
+}
+
+// startOptions starts a service with the options and the tests' decoder and
+// bounds.
+func startOptions(t *testing.T, o Options) *Service {
+	t.Helper()
+	o.Decoder = fakeDecoder{}
+	o.EffectiveIn = map[Kind]time.Duration{
 		Configurations: effectiveIn, Upstreams: effectiveIn, Rollouts: effectiveIn, Evacuations: effectiveIn,
-	}})
+	}
+	s := New(o)
 	k := kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))
 	if err := k.Register(s); err != nil {
 		t.Fatal(err)
