--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -24,29 +24,34 @@
 // is complete, so that after a truncated one the request can be retried or
 // answered with an error.
 func (f *flow) unary(ctx context.Context) {
-	for {
-		u, err := f.acquire(ctx, "")
-		if err != nil {
-			f.giveUp(ctx, failure{code: result.NoRunner, reason: err.Error()})
-			return
-		}
-		answer, body, fail := f.unaryAttempt(ctx, u)
-		defer body.release()
-		if answer != nil && answer.Successful() {
-			f.deliver(answer, body.bytes)
-			return
-		}
-		f.attemptFailed(ctx, u, fail)
-		repeat := (f.route.Retryable() || fail.notRun) && f.mayRepeat(ctx, limits.Recovery)
-		if !repeat && answer != nil {
-			f.deliver(answer, body.bytes)
-			return
-		}
-		if !repeat {
-			f.giveUp(ctx, fail)
-			return
-		}
+	for !f.unaryStep(ctx) {
+	}
+}
+
+// unaryStep sends the request to one upstream. It returns true once the request
+// has its final answer.
+func (f *flow) unaryStep(ctx context.Context) (ended bool) {
+	u, err := f.acquire(ctx, "")
+	if err != nil {
+		f.giveUp(ctx, failure{code: result.NoRunner, reason: err.Error()})
+		return true
+	}
+	answer, body, fail := f.unaryAttempt(ctx, u)
+	defer body.release()
+	if answer != nil && answer.Successful() {
+		f.deliver(answer, body.bytes)
+		return true
+	}
+	f.attemptFailed(ctx, u, fail)
+	if (f.route.Retryable() || fail.notRun) && f.mayRepeat(ctx, limits.Recovery) {
+		return false
+	}
+	if answer != nil {
+		f.deliver(answer, body.bytes)
+	} else {
+		f.giveUp(ctx, fail)
 	}
+	return true
 }
 
 func (f *flow) deliver(a *Answer, body []byte) {
