--- a/pkg/canary/messages.go
+++ b/pkg/canary/messages.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/topology"
 )
 
@@ -118,6 +121,20 @@
 	return slices.DeleteFunc(all[:min(aggregatorCount, len(all))], func(n string) bool { return n == self })
 }
 
+// implausible counts messages that were ignored.
+var implausible = metrics.GetOrCreateCounter("cassiapin_rollout_reports_refused_total")
+
+// maxElapsedFactor times a rollout's duration is the longest time since its start
+// that a message may state; a rollout that is late goes on for a while.
+const maxElapsedFactor = 10
+
+// plausible reports whether a message's times fit a rollout: the earliest start
+// and the earliest ramp that any node states hold for all.
+func (m *Message) plausible(duration time.Duration) bool {
+	limit := uint64(duration.Milliseconds())
+	return m.ElapsedMS <= maxElapsedFactor*limit && m.RampMS <= limit && m.NewSent <= m.Sent
+}
+
 // receive handles a peer's message.
 func (s *Service) receive(m Message) {
 	s.mu.Lock()
@@ -133,6 +150,11 @@
 	if ro == nil || ro.object.Created != m.Created || ro.object.Target != m.Target {
 		return
 	}
+	if !m.plausible(ro.object.Duration) {
+		implausible.Inc()
+		s.log.Warn(eventlog.ReportRefused, "service", m.Service, "from", m.Node, "elapsed_ms", m.ElapsedMS, "ramp_ms", m.RampMS)
+		return
+	}
 	if m.Sum {
 		ro.sum = m
 	} else {
--- a/pkg/canary/service_test.go
+++ b/pkg/canary/service_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/topology"
 )
 
@@ -270,6 +271,43 @@
 	}
 }
 
+// FuzzMessage guards against a malformed message of a peer that panics, shifts
+// the start of a rollout by more than a late rollout can have run, or starts the
+// ramp before the exposure bound allows it.
+func FuzzMessage(f *testing.F) {
+	for _, m := range []Message{
+		{Service: "pool", Created: 7, Target: "v2", ElapsedMS: 1 << 63, Node: "x"},
+		{Service: "pool", Created: 7, Target: "v2", RampMS: 1 << 54, Sum: true},
+		{Service: "pool", Created: 7, Target: "v2", ElapsedMS: 9000, Sent: 3, NewSent: 9, OldSessions: []uint64{1, 2}},
+		{Service: "pool", Created: 7, Target: "v2", Stats: Stats{"a": {New: Count{Bad: 1 << 63, Log2Sum: math.Inf(1)}}}},
+	} {
+		raw, err := peer.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var m Message
+		if peer.Decode(raw, &m) != nil {
+			return
+		}
+		w := newSimulation(1, 1, 0)
+		n := w.nodes[0]
+		n.refreshView()
+		w.clock.Advance(5 * time.Second)
+		n.handle(m)
+		n.service.step(t.Context())
+		ro := n.service.rollouts["pool"]
+		if back := w.clock.Now().Sub(ro.started); back < 0 || back > maxElapsedFactor*rolloutDuration {
+			t.Fatalf("the rollout started %s ago", back)
+		}
+		if ro.ramp < 0 || ro.share < 0 || ro.share > 1 {
+			t.Fatalf("ramp %s, share %g", ro.ramp, ro.share)
+		}
+	})
+}
+
 // TestEvaluate guards against rejecting a release by chance, and against
 // missing one that is bad on one route only or only slow.
 func TestEvaluate(t *testing.T) {
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -35,6 +35,7 @@
 	RolloutShare   = "rollout share"
 	RolloutVerdict = "rollout verdict"
 	RolloutWritten = "rollout state written"
+	ReportRefused  = "rollout report refused"
 	MembersChanged = "members changed"
 	Registered     = "node registered"
 	NotRegistered  = "node entry not written"
--- a/pkg/storeview/digest_test.go
+++ b/pkg/storeview/digest_test.go
@@ -1,12 +1,15 @@
 package storeview
 
 import (
+	"log/slog"
 	"math/rand"
 	"strconv"
 	"testing"
 	"time"
 
 	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/peer"
 	"cassiapin/pkg/topology"
 )
 
@@ -98,3 +101,41 @@
 	store.set(func() { store.version += 2 })
 	waitFor(t, service, 3, effectiveIn)
 }
+
+// FuzzNotice guards against a malformed notice of a peer that panics or that is
+// queued for a kind that does not exist.
+func FuzzNotice(f *testing.F) {
+	for _, n := range []Notice{
+		{Kind: Upstreams, From: 1, To: 2, Complete: true, Changes: []NoticeChange{{Name: "a", Revision: 2, Spec: []byte("{")}}},
+		{Kind: -5, To: 9},
+		{Known: []KnownRevision{{Kind: 1 << 40, Revision: 3}, {Kind: Rollouts, Revision: 1 << 63, AgeMS: -1 << 62, Digest: 7}}},
+		{Kind: Evacuations, To: 4, Complete: true, GraceMS: 1 << 62},
+	} {
+		raw, err := peer.Encode(n)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var n Notice
+		if peer.Decode(raw, &n) != nil {
+			return
+		}
+		s := New(Options{Decoder: fakeDecoder{}})
+		if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+			t.Fatal(err)
+		}
+		s.receive(n)
+		for kind := Configurations; kind <= Evacuations; kind++ {
+			follower := &follower{service: s, kind: kind, listed: true}
+			s.digests[kind] = newDigest(nil)
+			for len(s.notices[kind]) > 0 {
+				follower.applyNotice(<-s.notices[kind])
+			}
+			if follower.verified.After(time.Now()) {
+				t.Fatalf("%s is confirmed %s ahead of now", kind, time.Until(follower.verified))
+			}
+		}
+	})
+}
