storeview: a reader that was suspended publishes nothing before it has read again

Cause: its own clock stood still, so its state looked fresh and other nodes would have taken it for confirmed.

--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -176,8 +176,11 @@
 }
 
 // known returns the revision that this node has read of a kind, and whether it
-// was confirmed recently enough to publish.
+// was confirmed recently enough to publish, and since the latest pause.
 func (s *Service) known(kind Kind) (KnownRevision, bool) {
+	if s.unconfirmed(kind) {
+		return KnownRevision{}, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.storeProgress[kind]
@@ -260,7 +263,7 @@
 		}
 		left := f.freshFor()
 		if left <= 0 && f.applyQueued() {
-			continue // This process was paused while notices arrived.
+			continue // This process was delayed while notices arrived.
 		}
 		if left <= 0 {
 			if s.rank() < Readers {
--- a/pkg/storeview/pause_test.go
+++ b/pkg/storeview/pause_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+// TestPausedReaderIsSilent guards against a reader that was suspended and then
+// tells the others that its state is the newest: its own clock stood still.
+func TestPausedReaderIsSilent(t *testing.T) {
+	calls := &client{fakeStore: newFakeStore()}
+	s, clock := startPausable(t, calls, 0)
+	waitFor(t, s, 1, time.Second)
+	if _, ok := s.known(Configurations); !ok {
+		t.Fatal("a reader publishes nothing")
+	}
+	calls.unavailable.Store(true)
+	clock.offset.Add(int64(3 * time.Second))
+	if k, ok := s.known(Configurations); ok {
+		t.Errorf("the reader publishes revision %d before it has read it again", k.Revision)
+	}
+}
+
 // TestPauseWithoutStore guards against requests that wait for good after a pause
 // because the store does not answer.
 func TestPauseWithoutStore(t *testing.T) {
