storeview: a pause right after the start is noticed

Change: the first note is made when the service is created. The test of the silent reader waits until the reader has recorded what it read; beside 16 copies and 12 busy loops it looked too early once.

--- a/pkg/storeview/pause_test.go
+++ b/pkg/storeview/pause_test.go
@@ -54,8 +54,14 @@
 	calls := &client{fakeStore: newFakeStore()}
 	s, clock := startPausable(t, calls, 0)
 	waitFor(t, s, 1, time.Second)
-	if _, ok := s.known(Configurations); !ok {
-		t.Fatal("a reader publishes nothing")
+	// The view is published before the reader records what it has read.
+	for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		if _, ok := s.known(Configurations); ok {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("a reader publishes nothing")
+		}
 	}
 	calls.unavailable.Store(true)
 	clock.offset.Add(int64(3 * time.Second))
@@ -64,6 +70,17 @@
 	}
 }
 
+// TestPauseAtStart guards against a pause that is not noticed because the
+// process has just started.
+func TestPauseAtStart(t *testing.T) {
+	clock := &pausable{}
+	s := New(Options{BootTime: clock.now})
+	clock.offset.Add(int64(2 * time.Second))
+	if !s.unconfirmed(Configurations) {
+		t.Error("a pause right after the start is not noticed")
+	}
+}
+
 // TestPauseWithoutStore guards against requests that wait for good after a pause
 // because the store does not answer.
 func TestPauseWithoutStore(t *testing.T) {
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -135,6 +135,7 @@
 	if s.pauses.now == nil {
 		s.pauses.now = bootTime
 	}
+	s.pauses.endOfLast() // From here on a pause is noticed.
 	for kind := range s.notices {
 		s.notices[kind] = make(chan Notice, noticeQueue)
 	}
