--- a/pkg/canary/service_test.go
+++ b/pkg/canary/service_test.go
@@ -272,8 +272,8 @@
 }
 
 // FuzzMessage guards against a malformed message of a peer that panics, shifts
-// the start of a rollout by more than a late rollout can have run, or starts the
-// ramp before the exposure bound allows it.
+// the start of a rollout by more than a late rollout can have run, or gives a
+// share or a ramp outside of their ranges.
 func FuzzMessage(f *testing.F) {
 	for _, m := range []Message{
 		{Service: "pool", Created: 7, Target: "v2", ElapsedMS: 1 << 63, Node: "x"},
