Review case: callers' connections use up the descriptors of a machine

Shows that nothing bounds the open connections of callers: after the loss of the other machine of a region, 4,400 clients with a kept connection each leave the process without descriptors. It then takes no new connection for the rest of the run, refuses half of the requests for want of connections to runners, and still says that it is ready.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -37,6 +37,11 @@
 				"target-latency-ms": 200, "priority": 2, "service": "booking-app", "attempts": 1,
 				"public": false, "allowed-regions": []string{},
 			},
+			{
+				"name": "slot-read", "host": host, "path-prefix": "/read/", "kind": "safe", "timeout-ms": 1000,
+				"target-latency-ms": 200, "priority": 2, "service": "booking-app", "attempts": 2,
+				"public": false, "allowed-regions": []string{},
+			},
 		},
 		Services: []map[string]any{
 			{"name": "rota-model", "health-check-path": "/health", "max-connections": 370, "protocol": "h1", "tls": false, "cold-start-s": 3.0, "cold-per-s": 10.0},
@@ -61,9 +66,17 @@
 	runners []*runner
 }
 
-// build starts the store, two model runners and a booking runner, and as many
-// nodes as zones are named, and waits until all are ready and know each other.
+// build starts the store, two model runners, a booking runner and the nodes, and
+// waits until all are ready.
 func (s *setting) build(nodeZones []string, model, booking runner) *system {
+	y := s.prepare(nodeZones, model, booking)
+	s.startNodes()
+	return y
+}
+
+// prepare starts the store and the runners, and prepares a node for each zone
+// that is named.
+func (s *setting) prepare(nodeZones []string, model, booking runner) *system {
 	y := &system{store: newStore(), book: &book{}}
 	y.store.put("config", "main", baseConfig())
 	for i, proto := range []runner{model, model, booking} {
@@ -78,8 +91,14 @@
 		y.store.put("servers", r.id, r.entry())
 	}
 	for i, zone := range nodeZones {
-		n := newNode(fmt.Sprintf("front-%s-%d", zone, i+1), zone, s.folder, y.store.open(), s.log)
-		s.nodes = append(s.nodes, n)
+		s.nodes = append(s.nodes, newNode(fmt.Sprintf("front-%s-%d", zone, i+1), zone, s.folder, y.store.open(), s.log))
+	}
+	return y
+}
+
+// startNodes starts all nodes and waits until they are ready.
+func (s *setting) startNodes() {
+	for _, n := range s.nodes {
 		n.start()
 	}
 	for _, n := range s.nodes {
@@ -88,5 +107,4 @@
 		}
 	}
 	s.log.line("all nodes are ready")
-	return y
 }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -21,8 +22,10 @@
 	store                   *storePort
 	settings, output        string
 	cmd                     *exec.Cmd
-	exited                  chan struct{}
-	log                     *record
+	// descriptors limits the open files of the process, 0 to set no limit.
+	descriptors int
+	exited      chan struct{}
+	log         *record
 }
 
 // program is built by the deploy file; run words are "target/cassiapin route".
@@ -68,15 +71,40 @@
 stability_window = "3000ms"
 `
 
-// freePorts returns n free TCP ports of the loopback address.
+// The ports of nodes are taken from below the range from which the system draws
+// the ports of outgoing connections, so that none of those takes one meanwhile.
+const (
+	firstPort = 18000
+	lastPort  = 32000
+)
+
+// nextPort is where the search for a free port goes on.
+var nextPort = firstPort + rand.Intn(lastPort-firstPort)
+
+// freePorts returns n ports of the loopback address that are free for TCP and
+// UDP.
 func freePorts(n int) (ports []int) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		must(err)
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	for range lastPort - firstPort {
+		if len(ports) == n {
+			return ports
+		}
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := "127.0.0.1:" + strconv.Itoa(nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		u.Close()
+		ports = append(ports, nextPort)
 	}
-	return ports
+	panic("no free ports")
 }
 
 // newNode prepares a machine; the settings are those of the template.
@@ -97,6 +125,10 @@
 	out, err := os.OpenFile(n.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	n.cmd = exec.Command(program, "route")
+	if n.descriptors > 0 {
+		// The platform sets the limit of the process and starts the same words.
+		n.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s route", n.descriptors, program))
+	}
 	n.cmd.Env = append(os.Environ(), "CASSIAPIN_NODE_FILE="+n.settings)
 	n.cmd.Stdout, n.cmd.Stderr = out, out
 	// The process ends with this one, whatever happens.
