--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -28,6 +28,8 @@
 	troubleFor      = 40 * time.Second
 	// readPatience is how long a client waits for a new connection to be read.
 	readPatience = time.Second
+	// ownDescriptors is what the clients, runners and the store need together.
+	ownDescriptors = 8000
 )
 
 // try is a client's attempt on a new connection.
@@ -63,6 +65,11 @@
 // descriptorsOfClients removes one of the two machines of a region for good. Its
 // clients connect to the other one.
 func descriptorsOfClients(s *setting) int {
+	var limit syscall.Rlimit
+	must(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	if limit.Cur < ownDescriptors {
+		panic(fmt.Sprintf("this process may open %d files, and the case needs %d", limit.Cur, ownDescriptors))
+	}
 	y := s.prepare(zones, runner{work: 30 * time.Millisecond, events: 3, eventGap: 10 * time.Millisecond}, runner{work: 30 * time.Millisecond})
 	for _, n := range s.nodes {
 		n.descriptors = fileDescriptors
