--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -81,7 +81,10 @@
 	y.store.put("config", "main", baseConfig())
 	for i, proto := range []runner{model, model, booking} {
 		r := proto
-		r.id, r.zone, r.book, r.log = fmt.Sprintf("i-runner-%d", i+1), zones[i], y.book, s.log
+		r.id, r.book, r.log = fmt.Sprintf("i-runner-%d", i+1), y.book, s.log
+		if r.zone == "" {
+			r.zone = zones[i]
+		}
 		r.service = "rota-model"
 		if i == 2 {
 			r.service = "booking-app"
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -33,7 +33,9 @@
 // memoryOfBodies has one tenant send many times its usual for some seconds. Its
 // requests have bodies of the largest size that the configuration allows.
 func memoryOfBodies(s *setting) int {
-	y := s.build(zones, runner{work: firstEventAfter, events: photoEvents, eventGap: 50 * time.Millisecond}, runner{work: 30 * time.Millisecond})
+	// The model runners stand in the region of the tenant's clients, so that no body
+	// crosses the narrow link between the regions.
+	y := s.build(zones, runner{zone: "akureyri-a", work: firstEventAfter, events: photoEvents, eventGap: 50 * time.Millisecond}, runner{work: 30 * time.Millisecond})
 	time.Sleep(4 * time.Second)
 	// The tenant's clients are in akureyri-a; the directory names the machines of
 	// their region.
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // node is one machine with the deploy file's program on it.
@@ -125,15 +126,14 @@
 	out, err := os.OpenFile(n.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	n.cmd = exec.Command(program, "route")
-	if n.descriptors > 0 {
-		// The platform sets the limit of the process and starts the same words.
-		n.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s route", n.descriptors, program))
-	}
 	n.cmd.Env = append(os.Environ(), "CASSIAPIN_NODE_FILE="+n.settings)
 	n.cmd.Stdout, n.cmd.Stderr = out, out
 	// The process ends with this one, whatever happens.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(n.cmd.Start())
+	if n.descriptors > 0 {
+		limitDescriptors(n.cmd.Process.Pid, n.descriptors)
+	}
 	n.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
@@ -144,6 +144,16 @@
 	n.log.line("%s: started", n.name)
 }
 
+// limitDescriptors sets the limit of open files of a process that this one has
+// started, as the platform does.
+func limitDescriptors(pid, files int) {
+	limit := syscall.Rlimit{Cur: uint64(files), Max: uint64(files)}
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	if errno != 0 {
+		panic(fmt.Sprintf("set the limit of open files: %v", errno))
+	}
+}
+
 func (n *node) signal(s syscall.Signal) {
 	n.log.line("%s: %s", n.name, s)
 	_ = n.cmd.Process.Signal(s)
