--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -94,6 +94,12 @@
 // start adds a node. All nodes run on one host, so each uses its own loopback
 // address.
 func (f *testFleet) start(i int) *Node {
+	f.t.Helper()
+	return f.startWith(i, func(*Node) {})
+}
+
+// startWith adds a node that prepare changes before it runs.
+func (f *testFleet) startWith(i int, prepare func(*Node)) *Node {
 	f.t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
 	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
@@ -109,6 +115,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	prepare(n)
 	if err := n.Start(); err != nil {
 		f.t.Fatal(err)
 	}
