--- a/pkg/edge/readiness.go
+++ b/pkg/edge/readiness.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
 	"cassiapin/pkg/kernel"
@@ -11,6 +12,10 @@
 // readyInterval is the period at which the node checks its readiness.
 const readyInterval = 100 * time.Millisecond
 
+// timerDelay is how late the process runs what is due: on a host without enough
+// processor time, requests are read as late.
+var timerDelay = metrics.GetOrCreateHistogram("cassiapin_timer_delay_seconds")
+
 // readiness publishes to the other nodes whether this one serves callers.
 type readiness struct {
 	kernel.Base
@@ -28,7 +33,8 @@
 			select {
 			case <-t.Dying():
 				return nil
-			case <-ticker.C:
+			case due := <-ticker.C:
+				timerDelay.Update(time.Since(due).Seconds())
 			}
 			if now := r.node.Ready(); now != last {
 				last = now
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -19,6 +19,29 @@
 	outcomeCallerLeft = "caller_left"
 )
 
+// Stages of a request, labels of the callers that left.
+const (
+	stageUnsent    = "unsent"
+	stageWaiting   = "waiting"
+	stageAnswering = "answering"
+)
+
+// stage returns how far the request has got.
+func (f *flow) stage() string {
+	switch {
+	case f.sends == 0:
+		return stageUnsent
+	case f.begun:
+		return stageAnswering
+	}
+	return stageWaiting
+}
+
+// countCallerLeft counts a request whose caller has disconnected.
+func countCallerLeft(stage string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cassiapin_callers_left_total{stage=%q}`, stage)).Inc()
+}
+
 // noKind is the kind label of requests without a route.
 const noKind = "none"
 
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -274,7 +274,9 @@
 // callerLeft ends a request whose caller has disconnected.
 func (f *flow) callerLeft() {
 	f.countOutcome(outcomeCallerLeft)
-	f.service.log.Info(eventlog.CallerLeft, f.attrs("elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
+	stage := f.stage()
+	countCallerLeft(stage)
+	f.service.log.Info(eventlog.CallerLeft, f.attrs("stage", stage, "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
 		"upstream", f.lastUpstreamID(), "delivered", f.delivered)...)
 	f.out.Abort()
 }
