--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -157,7 +157,7 @@
 		Relay: n.relay, BodyLimit: n.bodyLimit, Closing: n.leaving.Load, Log: n.log,
 	}
 	addresses := &directory{members: n.members, maxTTL: s.Bounds.DirectoryTTL.Std()}
-	out := &servers{}
+	out := newServers()
 	for _, l := range []struct {
 		address string
 		handler http.Handler
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
+	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/kernel"
 )
 
@@ -29,8 +30,12 @@
 type servers struct {
 	kernel.Base
 	all []*server
+	// hangups watches the connections of callers with open requests.
+	hangups *hangup.Watcher
 }
 
+func newServers() *servers { return &servers{hangups: hangup.NewWatcher()} }
+
 type server struct {
 	http.Server
 	listener net.Listener
@@ -41,12 +46,16 @@
 func (*servers) Name() string { return "node.servers" }
 
 func (s *servers) add(l net.Listener, handler http.Handler, callers bool) {
-	s.all = append(s.all, &server{
+	out := &server{
 		Server: http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		},
 		listener: l, callers: callers,
-	})
+	}
+	if callers {
+		out.Handler, out.ConnContext = s.hangups.Handler(handler), hangup.ConnContext
+	}
+	s.all = append(s.all, out)
 }
 
 func (s *servers) closeListeners() {
@@ -57,6 +66,7 @@
 
 // Run serves until the tomb dies.
 func (s *servers) Run(t *tomb.Tomb) error {
+	s.hangups.Run(t)
 	for _, server := range s.all {
 		t.Go(func() error {
 			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -21,6 +21,7 @@
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/dispatch"
+	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/listen"
 	"cassiapin/pkg/peer"
@@ -74,8 +75,10 @@
 	dispatcher Dispatcher
 	members    peer.Members
 
-	listener     net.Listener
-	server       *http.Server
+	listener net.Listener
+	server   *http.Server
+	// hangups watches the connections of callers with open requests.
+	hangups      *hangup.Watcher
 	openRequests atomic.Int64
 	// draining is set when the node is no longer advertised.
 	draining atomic.Bool
@@ -86,7 +89,7 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
-	return &Service{options: o}
+	return &Service{options: o, hangups: hangup.NewWatcher()}
 }
 
 // Name implements kernel.Service.
@@ -102,7 +105,8 @@
 	kernel.Optional(f, peer.MembershipServiceName, &s.members)
 	s.listener = s.options.Listener
 	s.server = &http.Server{
-		Handler:           s.handler(),
+		Handler:           s.hangups.Handler(s.handler()),
+		ConnContext:       hangup.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -121,6 +125,7 @@
 
 // Run implements kernel.Service.
 func (s *Service) Run(t *tomb.Tomb) error {
+	s.hangups.Run(t)
 	listen.Serve(t, s.server, s.listener)
 	return nil
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -12,6 +12,7 @@
 
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/holdoff"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/placement"
@@ -104,7 +105,10 @@
 	s := f.service
 	until := f.request.Received.Add(f.route.TargetLatency / holdDivisor)
 	s.opts.Views.AwaitConfirmed(ctx)
-	for {
+	if hangup.Left(ctx) {
+		return nil, ctx.Err()
+	}
+	for ctx.Err() == nil {
 		if hold := s.opts.Quarantine.Check(f.sharedParts); hold != nil {
 			return nil, heldError{hold}
 		}
@@ -127,9 +131,9 @@
 		case <-changed:
 		case <-s.clock.After(min(holdPollInterval, until.Sub(now))):
 		case <-ctx.Done():
-			return nil, ctx.Err()
 		}
 	}
+	return nil, ctx.Err()
 }
 
 // reopening returns when the first of the upstreams that could serve the request
@@ -406,6 +410,8 @@
 	var failed *SendError
 	connected := errors.As(err, &failed) && failed.Connected
 	switch {
+	case errors.Is(err, hangup.ErrCallerLeft):
+		return failure{code: result.CallerCancelled, reason: err.Error(), notRun: true, unwanted: true}
 	case failed != nil && failed.HeldBack:
 		return failure{code: result.UpstreamRefused, reason: err.Error(), notRun: true, unwanted: true}
 	case !connected:
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/result"
 )
 
@@ -34,11 +35,19 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	// caller is the context of the request to be written; nil once its first byte
+	// is written.
+	caller context.Context
 }
 
-// Write counts the write before any byte is sent.
+// Write counts the write before any byte is sent. It writes nothing of a request
+// whose caller has left.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.caller != nil {
+		c.sealed = c.sealed || hangup.Left(c.caller)
+		c.caller = nil
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
@@ -48,6 +57,13 @@
 	return c.Conn.Write(p)
 }
 
+// startRequest sets the context of the request that is written next.
+func (c *trackedConn) startRequest(caller context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.caller = caller
+}
+
 func (c *trackedConn) writeCount() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,6 +110,8 @@
 
 // sendTrace records through httptrace how far one request got.
 type sendTrace struct {
+	// caller is the context of the request.
+	caller          context.Context
 	mu              sync.Mutex
 	gotConn         bool
 	reused          bool
@@ -119,6 +137,7 @@
 		conn = t.NetConn()
 	}
 	if t, ok := conn.(*trackedConn); ok {
+		t.startRequest(s.caller)
 		s.conn, s.writesBefore = t, t.writeCount()
 	}
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	x = &exchange{ctx: ctx, cancel: cancel, sent: c.clock.Now()}
 	x.watchdog = startWatchdog(ctx, c.clock, cancel, o.firstByteTimeout)
-	trace := &sendTrace{}
+	trace := &sendTrace{caller: ctx}
 	request, err := o.request(httptrace.WithClientTrace(ctx, trace.hooks()))
 	if err != nil {
 		cancel(errClosed)
