--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,6 +81,8 @@
 const (
 	nodeCount   = 5
 	callerCount = 8
+	// leaverCount is the number of callers that leave before their answer.
+	leaverCount = 8
 	// faultTime is how long faults are injected. settleTime is how long the fleet
 	// may then take to recover: the longest limit in the settings. verifyTime is
 	// how long requests are then required to succeed.
@@ -104,8 +106,12 @@
 	// crashPart is the part of prompts on which runners crash; empty is none.
 	crashPart string
 
-	mu       sync.Mutex
-	outcomes []*outcome
+	mu         sync.Mutex
+	outcomes   []*outcome
+	departures []departure
+	// faults are the times during which a node or the path to a runner had a
+	// fault, by the node's address or the runner's name.
+	faults map[string][]*interval
 	// verifyStart is when all faults had ended and settleTime had passed.
 	verifyStart time.Time
 }
@@ -113,6 +119,7 @@
 // runner is an application behind a fault-injecting proxy.
 type runner struct {
 	*platformtest.CrashingRunner
+	name   string
 	domain string
 	proxy  *faultProxy
 }
@@ -125,7 +132,7 @@
 	t.Cleanup(func() { fleetSlots <- slot })
 	f := &fleet{
 		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), store: platformtest.NewStore(t),
-		record: platformtest.NewRecord(), started: time.Now(),
+		record: platformtest.NewRecord(), started: time.Now(), faults: make(map[string][]*interval),
 	}
 	f.configure()
 	if crashSeed(seed) {
@@ -145,7 +152,7 @@
 func (f *fleet) configure() {
 	f.version += 1 + f.random.Intn(3)
 	f.store.PutRoutes(f.version, platformtest.RepeatableRoute("/lookup/"), platformtest.AtMostOnceRoute("/booking/"),
-		platformtest.StreamRoute("/draft/"), platformtest.RepeatableRoute(f.latestPath()))
+		platformtest.StreamRoute("/draft/"), platformtest.StreamRoute("/long/"), platformtest.RepeatableRoute(f.latestPath()))
 }
 
 // latestPath returns the path of the route that only the newest configuration
@@ -153,7 +160,7 @@
 func (f *fleet) latestPath() string { return fmt.Sprintf("/added-%d/", f.version) }
 
 func (f *fleet) addRunner(id string) {
-	r := &runner{domain: fmt.Sprintf("z%d", 1+len(f.runners)%2)}
+	r := &runner{name: id, domain: fmt.Sprintf("z%d", 1+len(f.runners)%2)}
 	r.CrashingRunner = platformtest.StartCrashingRunner(f.t, f.store, f.record, id, r.domain, f.crashPart, restartAfter,
 		func(listen string) string {
 			r.proxy = newFaultProxy(f.t, listen)
@@ -191,6 +198,10 @@
 		callers.Add(1)
 		go newCaller(f, callerCount).crash(stop, &callers)
 	}
+	for i := range leaverCount {
+		callers.Add(1)
+		go newLeaver(f, i).run(stop, &callers)
+	}
 	f.injectFaults()
 	f.event("all faults have ended")
 	time.Sleep(settleTime)
@@ -252,6 +263,7 @@
 		return
 	}
 	defer n.faultMu.Unlock()
+	defer f.recordFault(n.address(entryPort))()
 	switch random.Intn(4) {
 	case 0:
 		f.event("%s is killed", n.host)
@@ -296,6 +308,7 @@
 // faultRunnerPath injects a fault between all nodes and one runner.
 func (f *fleet) faultRunnerPath(random *rand.Rand) {
 	r := f.runners[random.Intn(4)]
+	defer f.recordFault(r.name)()
 	f.event("connection to runner %s %s", r.ID(), r.proxy.injectFault(random))
 	sleepRandom(random, 1500*time.Millisecond)
 	r.proxy.heal()
