--- a/pkg/budget/buffer.go
+++ b/pkg/budget/buffer.go
@@ -1,79 +1,81 @@
-package relay
+package budget
 
 import (
 	"io"
 
 	"github.com/cockroachdb/errors"
-
-	"cassiapin/pkg/limits"
 )
 
-const (
-	// freeBufferBytes is the part of each buffer that is not counted against
-	// the node's memory, so that usual answers pass while some upstreams send
-	// bytes without end.
-	freeBufferBytes = 16 << 10
-	// firstBufferBytes is the initial size of a buffer.
-	firstBufferBytes = 2 << 10
-)
+// firstBufferBytes is the initial size of a buffer of unknown length.
+const firstBufferBytes = 2 << 10
 
-// errTooLarge is returned for an answer or event that exceeds its limit or the
-// memory left for answers.
-var errTooLarge = errors.New("the answer is too large")
+var (
+	// ErrTooLarge is returned for what exceeds the limit of a buffer.
+	ErrTooLarge = errors.New("it is too large")
+	// ErrNoMemory is returned when the account of a buffer has no memory left.
+	ErrNoMemory = errors.New("there is no memory for it")
+)
 
-// buffer collects bytes up to a limit. What exceeds freeBufferBytes is taken
-// from the node's memory for answers until it is released.
-type buffer struct {
-	memory *limits.Memory
-	limit  int
-	bytes  []byte
-	taken  int
+// Buffer collects bytes up to a limit. What exceeds Free is taken from the account
+// until the buffer is released.
+type Buffer struct {
+	Account Account
+	// Limit is the largest number of bytes, Free the number that is not counted.
+	Limit, Free int
+	// Bytes are the collected bytes. They must not be used after Release.
+	Bytes []byte
+	taken int
 }
 
 // grow makes room for n more bytes.
-func (b *buffer) grow(n int) error {
-	need := len(b.bytes) + n
-	if need <= cap(b.bytes) {
+func (b *Buffer) grow(n int) error {
+	need := len(b.Bytes) + n
+	if need <= cap(b.Bytes) {
 		return nil
 	}
-	size := max(2*cap(b.bytes), need, firstBufferBytes)
-	if taken := max(size-freeBufferBytes, 0); taken > b.taken {
-		if !b.memory.Take(taken - b.taken) {
-			return errTooLarge
+	return b.reserve(max(2*cap(b.Bytes), need, firstBufferBytes))
+}
+
+// reserve moves the bytes to a larger slice.
+func (b *Buffer) reserve(size int) error {
+	if taken := max(size-b.Free, 0); taken > b.taken {
+		if !b.Account.Take(taken - b.taken) {
+			return ErrNoMemory
 		}
 		b.taken = taken
 	}
-	grown := make([]byte, len(b.bytes), size)
-	copy(grown, b.bytes)
-	b.bytes = grown
+	grown := make([]byte, len(b.Bytes), size)
+	copy(grown, b.Bytes)
+	b.Bytes = grown
 	return nil
 }
 
-func (b *buffer) append(p []byte) error {
-	if len(b.bytes)+len(p) > b.limit {
-		return errTooLarge
+// Append appends p. It returns ErrTooLarge or ErrNoMemory if p does not fit.
+func (b *Buffer) Append(p []byte) error {
+	if len(b.Bytes)+len(p) > b.Limit {
+		return ErrTooLarge
 	}
 	if err := b.grow(len(p)); err != nil {
 		return err
 	}
-	b.bytes = append(b.bytes, p...)
+	b.Bytes = append(b.Bytes, p...)
 	return nil
 }
 
-// readAll reads r to its end. It returns errTooLarge as soon as the limit is
-// exceeded.
-func (b *buffer) readAll(r io.Reader) error {
+// ReadAll reads r to its end. It returns ErrTooLarge or ErrNoMemory as soon as the
+// limit or the account is exceeded.
+func (b *Buffer) ReadAll(r io.Reader) error {
 	for {
-		if len(b.bytes) == cap(b.bytes) {
+		if len(b.Bytes) == cap(b.Bytes) {
 			if err := b.grow(1); err != nil {
 				return err
 			}
 		}
-		n, err := r.Read(b.bytes[len(b.bytes):min(cap(b.bytes), b.limit+1)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
+		n, err := r.Read(b.Bytes[len(b.Bytes):min(cap(b.Bytes), b.Limit+1)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		switch {
-		case len(b.bytes) > b.limit:
-			return errTooLarge
+		case len(b.Bytes) > b.Limit:
+			return ErrTooLarge
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -82,8 +84,30 @@
 	}
 }
 
-// release returns the memory; the bytes must not be used afterwards.
-func (b *buffer) release() {
-	b.memory.Release(b.taken)
-	b.bytes, b.taken = nil, 0
+// ReadExactly reads r, which has n bytes, to its end. The memory is taken before the
+// first byte is read.
+func (b *Buffer) ReadExactly(r io.Reader, n int) error {
+	if n > b.Limit {
+		return ErrTooLarge
+	}
+	if err := b.reserve(n); err != nil {
+		return err
+	}
+	if _, err := io.ReadFull(r, b.Bytes[:n]); err != nil {
+		return err
+	}
+	b.Bytes = b.Bytes[:n]
+	// The reader notices its end.
+	if _, err := r.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return errors.CombineErrors(ErrTooLarge, err)
+	}
+	return nil
+}
+
+// Release returns the memory.
+func (b *Buffer) Release() {
+	if b.taken > 0 {
+		b.Account.Release(b.taken)
+	}
+	b.Bytes, b.taken = nil, 0
 }
--- /dev/null
+++ b/pkg/budget/connections.go
@@ -0,0 +1,251 @@
+package budget
+
+import (
+	"container/list"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// crowdedShare is the share of the connections from which on they count as
+	// crowded.
+	crowdedShare = 0.9
+	// idleSweepInterval is the period at which idle connections are checked.
+	idleSweepInterval = time.Second
+)
+
+var (
+	connectionsEvicted = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="evicted"}`)
+	connectionsExpired = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="idle"}`)
+	connectionsRefused = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="refused"}`)
+)
+
+// Connections bounds the open connections of one HTTP server. At the bound it
+// closes the connection that has been idle longest to accept a new one; without an
+// idle one it closes the new one unread, which callers may retry elsewhere. The
+// server needs ConnState.
+type Connections struct {
+	limit int
+
+	mu   sync.Mutex
+	open int
+	// idle are the connections on which no request is at work, the longest idle
+	// first.
+	idle *list.List
+	// refusing is when a connection was first refused since one was last accepted;
+	// zero is never.
+	refusing time.Time
+}
+
+// NewConnections returns a bound of limit connections.
+func NewConnections(limit int) *Connections {
+	return &Connections{limit: max(limit, 1), idle: list.New()}
+}
+
+// Export makes the state of the process's callers' Connections metrics.
+func (c *Connections) Export() {
+	metrics.GetOrCreateGauge("cassiapin_caller_connections", func() float64 { return float64(c.Open()) })
+	metrics.GetOrCreateGauge("cassiapin_caller_connections_limit", func() float64 { return float64(c.limit) })
+}
+
+// Open returns the number of open connections.
+func (c *Connections) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// Crowded reports whether callers should close their connections after the answer,
+// because few more can be opened.
+func (c *Connections) Crowded() bool { return float64(c.Open()) > crowdedShare*float64(c.limit) }
+
+// RefusingFor returns for how long no new connection has been accepted although
+// callers tried.
+func (c *Connections) RefusingFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusing.IsZero() || c.open < c.limit || c.idle.Len() > 0 {
+		return 0
+	}
+	return time.Since(c.refusing)
+}
+
+// Listener returns a listener whose connections count.
+func (c *Connections) Listener(l net.Listener) net.Listener { return boundListener{l, c} }
+
+type boundListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l boundListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if out := l.connections.accept(tcp); out != nil {
+			return out, nil
+		}
+		_ = tcp.Close() // It is refused.
+	}
+}
+
+// accept adds a connection. It returns nil if there is no room for it.
+func (c *Connections) accept(tcp *net.TCPConn) *boundConn {
+	var evicted *boundConn
+	defer func() {
+		if evicted != nil {
+			_ = evicted.TCPConn.Close() // Its server notices that it ends.
+		}
+	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open >= c.limit {
+		if evicted = c.evictOldest(); evicted == nil {
+			connectionsRefused.Inc()
+			if c.refusing.IsZero() {
+				c.refusing = time.Now()
+			}
+			return nil
+		}
+		connectionsEvicted.Inc()
+	}
+	c.refusing = time.Time{}
+	c.open++
+	out := &boundConn{TCPConn: tcp, connections: c, idleSince: time.Now()}
+	out.element = c.idle.PushBack(out)
+	return out
+}
+
+// evictOldest takes the connection out that has been idle longest; it returns nil
+// without one. The caller holds the lock and closes the connection.
+func (c *Connections) evictOldest() *boundConn {
+	first := c.idle.Front()
+	if first == nil {
+		return nil
+	}
+	out := first.Value.(*boundConn)
+	c.idle.Remove(first)
+	out.element, out.evicted = nil, true
+	c.leave(out)
+	return out
+}
+
+// leave stops counting a connection. The caller holds the lock.
+func (c *Connections) leave(conn *boundConn) {
+	if !conn.left {
+		conn.left = true
+		c.open--
+	}
+	if conn.element != nil {
+		c.idle.Remove(conn.element)
+		conn.element = nil
+	}
+}
+
+// ConnState is the http.Server.ConnState of the server.
+func (c *Connections) ConnState(conn net.Conn, state http.ConnState) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	b, ok := conn.(*boundConn)
+	if !ok || state != http.StateIdle {
+		return // Read and Close notice the other changes.
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.element == nil && !b.left {
+		b.idleSince = time.Now()
+		b.element = c.idle.PushBack(b)
+	}
+}
+
+// CloseIdle closes the connections that have been idle for a time.
+func (c *Connections) CloseIdle(after time.Duration) {
+	for {
+		c.mu.Lock()
+		first := c.idle.Front()
+		if first == nil || time.Since(first.Value.(*boundConn).idleSince) < after {
+			c.mu.Unlock()
+			return
+		}
+		conn := c.evictOldest()
+		c.mu.Unlock()
+		connectionsExpired.Inc()
+		_ = conn.TCPConn.Close() // Its server notices that it ends.
+	}
+}
+
+// Run closes connections that have been idle for the limit, which may change, until
+// the tomb is dying. A limit of zero closes none.
+func (c *Connections) Run(t *tomb.Tomb, limit func() time.Duration) {
+	t.Go(func() error {
+		ticker := time.NewTicker(idleSweepInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-t.Dying():
+				return nil
+			case <-ticker.C:
+			}
+			if after := limit(); after > 0 {
+				c.CloseIdle(after)
+			}
+		}
+	})
+}
+
+// boundConn is a counted connection. The lock of its Connections guards all fields
+// but TCPConn.
+type boundConn struct {
+	*net.TCPConn
+	connections *Connections
+	// element is its place among the idle connections; nil while it is not idle.
+	element   *list.Element
+	idleSince time.Time
+	// evicted is set once it was chosen to be closed, left once it no longer counts.
+	evicted, left bool
+}
+
+// Read implements net.Conn. What arrives after the connection was chosen to be
+// closed counts as unread.
+func (b *boundConn) Read(p []byte) (int, error) {
+	n, err := b.TCPConn.Read(p)
+	if n > 0 && !b.begin() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// begin takes a connection with a request out of the idle ones. It returns false if
+// the connection was chosen to be closed.
+func (b *boundConn) begin() bool {
+	c := b.connections
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.element != nil {
+		c.idle.Remove(b.element)
+		b.element = nil
+	}
+	return !b.evicted
+}
+
+// Close implements net.Conn.
+func (b *boundConn) Close() error {
+	b.connections.mu.Lock()
+	b.connections.leave(b)
+	b.connections.mu.Unlock()
+	return b.TCPConn.Close()
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
@@ -48,6 +49,10 @@
 	// answerShare is the share of the host's memory for answers that are larger
 	// than usual.
 	answerShare = 0.125
+	// bodyShare is the share of the host's memory for the bodies of requests.
+	bodyShare = 0.25
+	// refusingLimit is how long a node may refuse connections and still be ready.
+	refusingLimit = time.Second
 )
 
 // Node is one process that serves callers.
@@ -63,7 +68,11 @@
 	// quarantine holds back requests that crash upstreams.
 	quarantine *quarantine.Service
 	servers    *servers
-	leaving    atomic.Bool
+	// callers are the connections of callers, bodies the memory of their requests'
+	// bodies.
+	callers *budget.Connections
+	bodies  *budget.SharedMemory
+	leaving atomic.Bool
 }
 
 // New assembles a node and opens its listeners.
@@ -125,11 +134,16 @@
 		Store: quarantineStore{store}, Isolated: n.members.Isolated,
 	})
 	n.members.AddPiggyback(quarantine.ProbeKey, quarantine.Probe{Service: n.quarantine})
-	memory := limits.NewMemory(int64(answerShare * float64(s.MemoryBytes())))
+	memory := budget.NewMemory(int64(answerShare * float64(s.MemoryBytes())))
 	memory.Export()
+	n.bodies = budget.NewSharedMemory(int64(bodyShare * float64(s.MemoryBytes())))
+	n.bodies.Export()
+	files := budget.DivideFiles(s.Limits.FileDescriptors)
+	runners := platform.NewRunnerClient()
+	runners.LimitIdle(files.IdleUpstreams)
 	n.relay = relay.New(relay.Options{
 		FailureDomain: s.FailureDomain, Region: s.Region,
-		Client: platform.NewRunnerClient(), Views: n.storeView, Fleet: nodes,
+		Client: runners, Views: n.storeView, Fleet: nodes,
 		RetryBudget: limits.NewRetryBudget(limits.RetryOptions{
 			Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow.Std(),
 		}, n.kernel.Clock, nodes.NodeCount),
@@ -140,7 +154,7 @@
 		Canary:  canaryService, Quarantine: n.quarantine,
 		Memory: memory,
 	})
-	n.servers, err = n.listen()
+	n.servers, err = n.listen(files)
 	if err != nil {
 		return nil, err
 	}
@@ -151,24 +165,29 @@
 }
 
 // listen opens the listeners and builds their handlers.
-func (n *Node) listen() (*servers, error) {
+func (n *Node) listen(files budget.Descriptors) (*servers, error) {
 	s := n.settings
+	n.callers = budget.NewConnections(files.Callers)
+	n.callers.Export()
 	callers := &platform.CallerHandler{
-		Relay: n.relay, BodyLimit: n.bodyLimit, Closing: n.leaving.Load, Log: n.log,
+		Relay: n.relay, BodyLimit: n.bodyLimit, Bodies: n.bodies, Owner: n.organisation, Log: n.log,
+		Closing: func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
 	addresses := &directory{members: n.members, maxTTL: s.Bounds.DirectoryTTL.Std()}
-	out := newServers()
+	out := newServers(n.idleLimit)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-		callers bool
+		// connections bounds the open connections.
+		connections *budget.Connections
+		callers     bool
 		// optional handlers are skipped if their address is in use.
 		optional bool
 	}{
-		{address: s.Entry, handler: callers, callers: true},
-		{address: s.Ready, handler: platform.ReadinessHandler(n.Ready)},
-		{address: s.Directory, handler: platform.DirectoryHandler(addresses, n.log)},
-		{address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), handler: metricsHandler(), optional: true},
+		{address: s.Entry, handler: callers, connections: n.callers, callers: true},
+		{address: s.Ready, handler: platform.ReadinessHandler(n.Ready), connections: budget.NewConnections(files.Operators)},
+		{address: s.Directory, handler: platform.DirectoryHandler(addresses, n.log), connections: budget.NewConnections(files.Directory)},
+		{address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), handler: metricsHandler(), connections: budget.NewConnections(files.Operators), optional: true},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil && l.optional {
@@ -181,7 +200,7 @@
 			out.closeListeners()
 			return nil, errors.Wrapf(err, "listen on %s", l.address)
 		}
-		out.add(listener, l.handler, l.callers)
+		out.add(listener, l.handler, l.connections, l.callers)
 	}
 	return out, nil
 }
@@ -193,9 +212,29 @@
 	return defaultBodyBytes
 }
 
-// Ready reports whether the node serves callers and is not leaving.
+// idleLimit returns how long callers' connections may be idle; zero is not known.
+func (n *Node) idleLimit() time.Duration {
+	if c := n.storeView.View().Config; c != nil {
+		return c.Limits.IdleTimeout
+	}
+	return 0
+}
+
+// organisation returns the name of the organisation that holds an API key; empty is
+// none.
+func (n *Node) organisation(key string) string {
+	if c := n.storeView.View().Config; c != nil {
+		if o := c.Organisation(key); o != nil {
+			return o.Name
+		}
+	}
+	return ""
+}
+
+// Ready reports whether the node serves callers, takes connections and is not
+// leaving.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.storeView.View().Config != nil && n.storeView.Synced()
+	return !n.leaving.Load() && n.callers.RefusingFor() < refusingLimit && n.storeView.View().Config != nil && n.storeView.Synced()
 }
 
 // Start runs all services.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -100,6 +100,12 @@
 
 // startWith adds a node that prepare changes before it runs.
 func (f *testFleet) startWith(i int, prepare func(*Node)) *Node {
+	f.t.Helper()
+	return f.startSettings(i, func(*settings.Router) {}, prepare)
+}
+
+// startSettings adds a node with other settings.
+func (f *testFleet) startSettings(i int, change func(*settings.Router), prepare func(*Node)) *Node {
 	f.t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
 	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
@@ -111,6 +117,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	change(s)
 	n, err := New(s, slog.New(slog.DiscardHandler))
 	if err != nil {
 		f.t.Fatal(err)
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/kernel"
 )
@@ -18,9 +19,8 @@
 	// headerTimeout bounds the time to read a request's headers; callers'
 	// limits in the configuration are at most a few seconds.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle connections. The configured limit is not known at
-	// the start, so it is well above the time for which callers reuse
-	// connections: four fifths of the limit, which is usually 15 s.
+	// idleTimeout closes idle connections while there is no configuration, whose
+	// limit holds afterwards.
 	idleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 64 << 10
@@ -32,26 +32,33 @@
 	all []*server
 	// hangups watches the connections of callers with open requests.
 	hangups *hangup.Watcher
+	// idleLimit returns how long callers' connections may be idle; zero is not known.
+	idleLimit func() time.Duration
 }
 
-func newServers() *servers { return &servers{hangups: hangup.NewWatcher()} }
+func newServers(idleLimit func() time.Duration) *servers {
+	return &servers{hangups: hangup.NewWatcher(), idleLimit: idleLimit}
+}
 
 type server struct {
 	http.Server
 	listener net.Listener
+	// connections bounds the open connections.
+	connections *budget.Connections
 	// callers marks the server whose requests are drained at shutdown.
 	callers bool
 }
 
 func (*servers) Name() string { return "node.servers" }
 
-func (s *servers) add(l net.Listener, handler http.Handler, callers bool) {
+func (s *servers) add(l net.Listener, handler http.Handler, connections *budget.Connections, callers bool) {
 	out := &server{
 		Server: http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		},
-		listener: l, callers: callers,
+		listener: connections.Listener(l), connections: connections, callers: callers,
 	}
+	out.ConnState = connections.ConnState
 	if callers {
 		out.Handler, out.ConnContext = s.hangups.Handler(handler), hangup.ConnContext
 	}
@@ -68,6 +75,7 @@
 func (s *servers) Run(t *tomb.Tomb) error {
 	s.hangups.Run(t)
 	for _, server := range s.all {
+		server.connections.Run(t, s.idleLimit)
 		t.Go(func() error {
 			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -63,6 +63,12 @@
 
 // start serves the client API with the given dispatcher and returns its address.
 func start(t *testing.T, d *fakeDispatcher) string {
+	t.Helper()
+	return startWith(t, d, Options{WriteTimeout: 500 * time.Millisecond})
+}
+
+// startWith is start with other options.
+func startWith(t *testing.T, d *fakeDispatcher, o Options) string {
 	t.Helper()
 	sum := sha256.Sum256([]byte(apiKey))
 	snapshot := config.NewSnapshot(7, "", config.Declarations{
@@ -81,9 +87,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(Options{
-		Listener: listener, SelfURL: "http://" + listener.Addr().String(), WriteTimeout: 500 * time.Millisecond,
-	})
+	o.Listener, o.SelfURL = listener, "http://"+listener.Addr().String()
+	s := New(o)
 	if err := k.Register(fakeSource{Static: &config.Static{Snapshot: snapshot}}, d, s); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"time"
@@ -10,35 +11,52 @@
 	"github.com/cockroachdb/errors"
 	"goji.io/pat"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/dispatch"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
 )
 
-// readBody reads the request body with a size limit and a read timeout.
-func (s *Service) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// memoryRetry is the least time after which a body may have room; up to as much
+// again is added at random, so that callers do not return at once.
+const memoryRetry = time.Second
+
+// readBody reads the request body with a read timeout, a limit of its own and the
+// organisation's share of the memory for all bodies. The body is valid until
+// release is called.
+func (s *Service) readBody(w http.ResponseWriter, r *http.Request, c *caller) (body []byte, release func(), err error) {
+	buffer := &budget.Buffer{Account: s.bodies.Of(c.organisation.Name), Limit: int(c.snapshot.Limits.BodyBytes)}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.clock.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if r.ContentLength > 0 {
+		err = buffer.ReadExactly(r.Body, int(min(r.ContentLength, math.MaxInt)))
+	} else {
+		err = buffer.ReadAll(r.Body)
+	}
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+	if err == nil {
+		return buffer.Bytes, buffer.Release, nil
 	}
-	if err != nil {
-		return nil, result.Wrap(err, result.BadRequest, result.NotRun, "the body could not be read")
+	buffer.Release()
+	w.Header().Set("Connection", "close") // The rest of the body is not read.
+	switch {
+	case errors.Is(err, budget.ErrTooLarge):
+		return nil, nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", c.snapshot.Limits.BodyBytes)
+	case errors.Is(err, budget.ErrNoMemory):
+		return nil, nil, result.New(result.MemoryExhausted, "there is no memory for the body").WithRetryAfter(memoryRetry + rand.N(memoryRetry))
 	}
-	return body, nil
+	return nil, nil, result.Wrap(err, result.BadRequest, result.NotRun, "the body could not be read")
 }
 
 func (s *Service) chat(w http.ResponseWriter, r *http.Request, c *caller) {
-	request, err := s.chatRequest(w, r, c)
+	request, release, err := s.chatRequest(w, r, c)
 	if err != nil {
 		w.Header().Set(headerRequestID, c.requestID)
 		writeError(w, err)
 		return
 	}
+	defer release()
 	sink := &eventSink{
 		writer: w, control: http.NewResponseController(w), now: s.clock.Now, timeout: s.options.WriteTimeout,
 	}
@@ -59,27 +77,29 @@
 	_, _ = w.Write(res.Body)
 }
 
-func (s *Service) chatRequest(w http.ResponseWriter, r *http.Request, c *caller) (*dispatch.ChatRequest, error) {
+// chatRequest decodes a chat request, whose body is held until release is called.
+func (s *Service) chatRequest(w http.ResponseWriter, r *http.Request, c *caller) (request *dispatch.ChatRequest, release func(), err error) {
 	now := s.clock.Now()
 	class, err := c.class(r.Header)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	requestPriority, err := priority(r.Header, class)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	requestDeadline, err := deadline(r.Header, class, now)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	body, err := s.readBody(w, r, c.snapshot.Limits.BodyBytes)
+	body, release, err := s.readBody(w, r, c)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	chat, err := dispatch.ParseChat(body)
 	if err != nil {
-		return nil, err
+		release()
+		return nil, nil, err
 	}
 	return &dispatch.ChatRequest{
 		ID:             c.requestID,
@@ -90,7 +110,7 @@
 		Deadline:       requestDeadline,
 		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
 		Chat:           chat,
-	}, nil
+	}, release, nil
 }
 
 // eventSink writes server-sent events to the caller.
@@ -149,11 +169,12 @@
 
 func (s *Service) plainService(w http.ResponseWriter, r *http.Request, c *caller) {
 	w.Header().Set(headerRequestID, c.requestID)
-	request, err := s.serviceRequest(w, r, c)
+	request, release, err := s.serviceRequest(w, r, c)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer release()
 	res, err := s.dispatcher.CallService(r.Context(), request)
 	if err != nil {
 		writeError(w, err)
@@ -167,15 +188,18 @@
 	_, _ = w.Write(res.Body)
 }
 
-func (s *Service) serviceRequest(w http.ResponseWriter, r *http.Request, c *caller) (*dispatch.ServiceRequest, error) {
+// serviceRequest decodes a service call, whose body is held until release is called.
+func (s *Service) serviceRequest(w http.ResponseWriter, r *http.Request, c *caller) (
+	request *dispatch.ServiceRequest, release func(), err error,
+) {
 	name := pat.Param(r, "name")
 	service, ok := c.snapshot.Service(name)
 	if !ok || !mayCallService(service, c.organisation.Name) {
-		return nil, result.New(result.NotFound, "no service %q for the organisation", name)
+		return nil, nil, result.New(result.NotFound, "no service %q for the organisation", name)
 	}
-	body, err := s.readBody(w, r, c.snapshot.Limits.BodyBytes)
+	body, release, err := s.readBody(w, r, c)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	header := make(http.Header)
 	for _, name := range []string{"Content-Type", "Accept", "Accept-Language"} {
@@ -193,7 +217,7 @@
 		Header:         header,
 		Body:           body,
 		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
-	}, nil
+	}, release, nil
 }
 
 func mayCallService(service *config.Service, organisation string) bool {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -18,6 +18,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/clock"
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/dispatch"
@@ -43,6 +44,9 @@
 // is disconnected.
 const DefaultWriteTimeout = 30 * time.Second
 
+// DefaultBodyMemory is the memory for the bodies of all requests in bytes.
+const DefaultBodyMemory = 64 << 20
+
 // Dispatcher routes and executes requests.
 type Dispatcher interface {
 	Chat(ctx context.Context, r *dispatch.ChatRequest) (*dispatch.ChatResult, error)
@@ -59,6 +63,12 @@
 	Region      string
 	// WriteTimeout limits one write; 0 means DefaultWriteTimeout.
 	WriteTimeout time.Duration
+	// BodyMemory is the memory for the bodies of all requests in bytes; 0 means
+	// DefaultBodyMemory.
+	BodyMemory int64
+	// Connections is the number of callers' connections; 0 means a share of the files
+	// that the process may open.
+	Connections int
 	// SelfURL is this node's base URL. /v1/entries returns it when there is no
 	// membership service.
 	SelfURL string
@@ -78,7 +88,11 @@
 	listener net.Listener
 	server   *http.Server
 	// hangups watches the connections of callers with open requests.
-	hangups      *hangup.Watcher
+	hangups *hangup.Watcher
+	// connections bounds the connections of callers, bodies the memory of their
+	// requests' bodies.
+	connections  *budget.Connections
+	bodies       *budget.SharedMemory
 	openRequests atomic.Int64
 	// draining is set when the node is no longer advertised.
 	draining atomic.Bool
@@ -89,7 +103,16 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
-	return &Service{options: o, hangups: hangup.NewWatcher()}
+	if o.BodyMemory == 0 {
+		o.BodyMemory = DefaultBodyMemory
+	}
+	if o.Connections == 0 {
+		o.Connections = budget.DivideFiles(0).Callers
+	}
+	return &Service{
+		options: o, hangups: hangup.NewWatcher(),
+		connections: budget.NewConnections(o.Connections), bodies: budget.NewSharedMemory(o.BodyMemory),
+	}
 }
 
 // Name implements kernel.Service.
@@ -103,10 +126,11 @@
 	kernel.Require(f, dispatch.ServiceName, &s.dispatcher)
 	// Tests run without a membership service.
 	kernel.Optional(f, peer.MembershipServiceName, &s.members)
-	s.listener = s.options.Listener
+	s.listener = s.connections.Listener(s.options.Listener)
 	s.server = &http.Server{
 		Handler:           s.hangups.Handler(s.handler()),
 		ConnContext:       hangup.ConnContext,
+		ConnState:         s.connections.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -198,7 +222,7 @@
 // requests.
 func (s *Service) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
+		if s.draining.Load() || s.connections.Crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		if err := rejectAmbiguousPath(r.URL.EscapedPath()); err != nil {
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -30,6 +30,7 @@
 	ModelEscalated = "model escalated"
 	StreamResumed  = "stream resumed"
 	RequestTimeout = "request did not arrive in time"
+	BodyRefused    = "no memory for a body"
 	RequestPanic   = "request ended with a panic"
 
 	PartQuarantined = "prompt part quarantined"
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"cassiapin/pkg/limits"
+	"cassiapin/pkg/budget"
 )
 
 const (
@@ -16,6 +16,10 @@
 	maxEventBytes = 1 << 20
 	// maxFillerBytes bounds the comments and blank lines between two events.
 	maxFillerBytes = 64 << 10
+	// freeBufferBytes is the part of each buffer that is not counted against the
+	// node's memory, so that usual answers pass while some upstreams send bytes
+	// without end.
+	freeBufferBytes = 16 << 10
 	// readBufferBytes fits usual events of a few hundred bytes.
 	readBufferBytes = 2 << 10
 )
@@ -27,6 +31,11 @@
 	errOnlyFiller = errors.Newf("%d bytes of comments and blank lines without an event", maxFillerBytes)
 )
 
+// newBuffer returns a buffer for an answer or event.
+func newBuffer(memory *budget.Memory, limit int) budget.Buffer {
+	return budget.Buffer{Account: memory, Limit: limit, Free: freeBufferBytes}
+}
+
 // streamEvent is one event of a stream.
 type streamEvent struct {
 	// raw has the bytes of the event with the terminating blank line. It is
@@ -42,26 +51,26 @@
 // eventReader splits an event stream into events.
 type eventReader struct {
 	r      *bufio.Reader
-	buffer buffer
+	buffer budget.Buffer
 	// filler is the number of bytes since the last event.
 	filler int
 }
 
 // newEventReader returns a reader that has to be closed.
-func newEventReader(r io.Reader, memory *limits.Memory) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, readBufferBytes), buffer: buffer{memory: memory, limit: maxEventBytes}}
+func newEventReader(r io.Reader, memory *budget.Memory) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, readBufferBytes), buffer: newBuffer(memory, maxEventBytes)}
 }
 
 // close releases the memory of the reader.
-func (e *eventReader) close() { e.buffer.release() }
+func (e *eventReader) close() { e.buffer.Release() }
 
 // next returns the next event. It returns io.EOF only between events.
 func (e *eventReader) next() (streamEvent, error) {
 	next := streamEvent{id: -1, comment: true}
-	e.buffer.bytes = e.buffer.bytes[:0]
+	e.buffer.Bytes = e.buffer.Bytes[:0]
 	for lineStart := 0; ; {
 		part, err := e.r.ReadSlice('\n')
-		if appendErr := e.buffer.append(part); appendErr != nil {
+		if appendErr := e.buffer.Append(part); appendErr != nil {
 			return streamEvent{}, appendErr
 		}
 		if next.comment {
@@ -70,25 +79,25 @@
 			}
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			next.comment = next.comment && e.buffer.bytes[lineStart] == ':'
+			next.comment = next.comment && e.buffer.Bytes[lineStart] == ':'
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer.bytes)) > 0 {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer.Bytes)) > 0 {
 				return streamEvent{}, errPartialEvent
 			}
 			return streamEvent{}, err
 		}
-		text := bytes.TrimRight(e.buffer.bytes[lineStart:], "\r\n")
+		text := bytes.TrimRight(e.buffer.Bytes[lineStart:], "\r\n")
 		if len(text) == 0 && lineStart == 0 {
-			e.buffer.bytes = e.buffer.bytes[:0] // Skip blank lines between events.
+			e.buffer.Bytes = e.buffer.Bytes[:0] // Skip blank lines between events.
 			continue
 		}
 		if len(text) == 0 {
 			if !next.comment {
 				e.filler = 0
 			}
-			next.raw = e.buffer.bytes
+			next.raw = e.buffer.Bytes
 			return next, nil
 		}
 		next.comment = next.comment && text[0] == ':'
@@ -97,6 +106,6 @@
 				return streamEvent{}, errors.Wrap(err, "parse event id")
 			}
 		}
-		lineStart = len(e.buffer.bytes)
+		lineStart = len(e.buffer.Bytes)
 	}
 }
--- a/pkg/relay/events_test.go
+++ b/pkg/relay/events_test.go
@@ -8,9 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"cassiapin/pkg/limits"
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/result"
 )
 
@@ -83,7 +81,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			svc := newTestService(t)
-			svc.opts.Memory = limits.NewMemory(2 << 20)
+			svc.opts.Memory = budget.NewMemory(2 << 20)
 			svc.client.scripts["a"] = sendsEndlessly(event(1), text, 0)
 			svc.client.scripts["b"] = answers(200, events(2, 4))
 			started := time.Now()
@@ -153,7 +151,7 @@
 		{"/booking/", answers(200, "ok"), result.OutcomeUnknown},
 	} {
 		svc := newTestService(t)
-		svc.opts.Memory = limits.NewMemory(1 << 20)
+		svc.opts.Memory = budget.NewMemory(1 << 20)
 		svc.client.scripts["a"] = sendsEndlessly("", strings.Repeat("x", 4096), 0)
 		svc.client.scripts["b"] = tc.other
 		resp := svc.run(tc.path)
@@ -172,32 +170,3 @@
 	}
 	return resp.refusal.Code
 }
-
-// TestBuffer guards against an answer that is cut silently at the limit, and
-// against one of exactly the limit that is refused.
-func TestBuffer(t *testing.T) {
-	memory := limits.NewMemory(64 << 10)
-	for _, tc := range []struct {
-		size int
-		err  error
-	}{{0, nil}, {1, nil}, {32 << 10, nil}, {32<<10 + 1, errTooLarge}, {1 << 20, errTooLarge}} {
-		b := buffer{memory: memory, limit: 32 << 10}
-		err := b.readAll(strings.NewReader(strings.Repeat("x", tc.size)))
-		if !errors.Is(err, tc.err) || err == nil && len(b.bytes) != tc.size {
-			t.Errorf("%d bytes: %v, %d read", tc.size, err, len(b.bytes))
-		}
-		b.release()
-	}
-	if used := memory.Used(); used != 0 {
-		t.Errorf("%d bytes are still reserved", used)
-	}
-	full := limits.NewMemory(0)
-	small := buffer{memory: full, limit: 1 << 20}
-	if err := small.readAll(strings.NewReader(strings.Repeat("x", freeBufferBytes/2))); err != nil {
-		t.Errorf("a small answer without memory left: %v", err)
-	}
-	large := buffer{memory: full, limit: 1 << 20}
-	if err := large.readAll(strings.NewReader(strings.Repeat("x", 2*freeBufferBytes))); !errors.Is(err, errTooLarge) {
-		t.Errorf("a large answer without memory left: %v", err)
-	}
-}
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
@@ -57,7 +58,7 @@
 	// none.
 	Quarantine *quarantine.Service
 	// Memory bounds the buffers of answers; nil is no bound.
-	Memory *limits.Memory
+	Memory *budget.Memory
 }
 
 // Service serves requests. It is registered as ServiceName.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/limits"
@@ -135,7 +136,7 @@
 
 // bodyFailure classifies the error of reading an answer's body.
 func bodyFailure(err error, timedOut bool) failure {
-	if errors.Is(err, errTooLarge) || errors.Is(err, errOnlyFiller) {
+	if errors.IsAny(err, budget.ErrTooLarge, budget.ErrNoMemory, errOnlyFiller) {
 		return failure{code: result.AnswerTooLarge, reason: err.Error()}
 	}
 	return failure{
@@ -211,15 +212,15 @@
 	if f.begun || f.route.Retryable() && f.sends < f.route.MaxUpstreams {
 		return streamFailed, fail
 	}
-	body := buffer{memory: f.service.opts.Memory, limit: maxAnswerBytes}
-	defer body.release()
-	if err := body.readAll(a.answer.Body); err != nil || ctx.Err() != nil {
+	body := newBuffer(f.service.opts.Memory, maxAnswerBytes)
+	defer body.Release()
+	if err := body.ReadAll(a.answer.Body); err != nil || ctx.Err() != nil {
 		return streamFailed, fail
 	}
 	f.attemptFailed(ctx, a.upstream, fail)
 	f.begun = true
 	f.out.Begin(a.answer)
-	if err := f.out.WriteEvents(body.bytes); err != nil {
+	if err := f.out.WriteEvents(body.Bytes); err != nil {
 		return streamCallerLeft, failure{}
 	}
 	return streamComplete, failure{}
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cassiapin/pkg/limits"
+	"cassiapin/pkg/budget"
 )
 
 // cut returns a script whose stream is cut after text.
@@ -202,7 +202,7 @@
 	f.Add("id: 4\ndata: x\r\n\r\n\n\n: comment\n\nid: nine\n\n")
 	f.Add(strings.Repeat("data: long ", 600) + "\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		memory := limits.NewMemory(1 << 20)
+		memory := budget.NewMemory(1 << 20)
 		r := newEventReader(strings.NewReader(text), memory)
 		var joined strings.Builder
 		for {
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassiapin/pkg/budget"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/topology"
@@ -37,9 +38,9 @@
 		return true
 	}
 	answer, body, fail := f.unaryAttempt(ctx, u)
-	defer body.release()
+	defer body.Release()
 	if answer != nil && answer.Successful() {
-		f.deliver(answer, body.bytes)
+		f.deliver(answer, body.Bytes)
 		return true
 	}
 	f.attemptFailed(ctx, u, fail)
@@ -47,7 +48,7 @@
 		return false
 	}
 	if answer != nil {
-		f.deliver(answer, body.bytes)
+		f.deliver(answer, body.Bytes)
 	} else {
 		f.giveUp(ctx, fail)
 	}
@@ -62,8 +63,9 @@
 // unaryAttempt sends the request to one upstream. answer is the application's
 // answer, even if that reports a failure, or nil if there is none. The receiver
 // releases body.
-func (f *flow) unaryAttempt(ctx context.Context, u *topology.Upstream) (answer *Answer, body *buffer, fail failure) {
-	body = &buffer{memory: f.service.opts.Memory, limit: maxAnswerBytes}
+func (f *flow) unaryAttempt(ctx context.Context, u *topology.Upstream) (answer *Answer, body *budget.Buffer, fail failure) {
+	buffer := newBuffer(f.service.opts.Memory, maxAnswerBytes)
+	body = &buffer
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timedOut := f.limitAttempt(ctx, cancel, u)
@@ -81,7 +83,7 @@
 	}
 	f.reportOutcome(a, a.answer.Successful())
 	f.firstByte = f.elapsed()
-	if err := body.readAll(a.answer.Body); err != nil {
+	if err := body.ReadAll(a.answer.Body); err != nil {
 		return nil, body, bodyFailure(err, timedOut())
 	}
 	if !a.answer.Successful() {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -31,6 +31,7 @@
 	LinkBudgetExhausted  Code = 208
 	RetryBudgetExhausted Code = 209
 	PromptQuarantined    Code = 210
+	MemoryExhausted      Code = 211
 )
 
 // Codes 3xx: an upstream failed.
@@ -114,6 +115,7 @@
 	{LinkBudgetExhausted, "link_budget", 503, "Only the other region has runners and the link budget is used up."},
 	{RetryBudgetExhausted, "retry_budget", 503, "The attempt failed and the retry budget is used up."},
 	{PromptQuarantined, "prompt_quarantined", 503, "Upstreams crashed on a part of the prompt; requests with it are held back."},
+	{MemoryExhausted, "memory_exhausted", 503, "The node has no memory left for the request's body."},
 	{ConnectFailed, "connect_failed", 502, "No connection to the upstream could be made."},
 	{UpstreamRefused, "upstream_refused", 502, "The upstream refused the request before running it."},
 	{UpstreamError, "upstream_error", 502, "The upstream answered with an error."},
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -43,6 +43,9 @@
 	// MemoryMB is the memory of the process in MB; the platform kills a process
 	// that exceeds it.
 	MemoryMB int `toml:"memory_mb"`
+	// FileDescriptors is the number of files that the process may open; zero is that
+	// which the process finds at its start.
+	FileDescriptors int `toml:"file_descriptors"`
 }
 
 // defaultMemoryMB is the assumed memory of a host that states none.
@@ -136,6 +139,9 @@
 	if r.Limits.MemoryMB < 0 {
 		c.fail("limits.memory_mb", "limits.memory_mb is below zero")
 	}
+	if r.Limits.FileDescriptors < 0 {
+		c.fail("limits.file_descriptors", "limits.file_descriptors is below zero")
+	}
 	if r.Domains[r.FailureDomain] != r.Region {
 		c.fail("domains", "domains lists failure domain %q in region %q, not %q", r.FailureDomain, r.Domains[r.FailureDomain], r.Region)
 	}
