--- a/pkg/hangup/hangup.go
+++ b/pkg/hangup/hangup.go
@@ -52,15 +52,19 @@
 
 // call is an open request and its caller's connection.
 type call struct {
+	ctx    context.Context
 	conn   syscall.RawConn
 	cancel context.CancelCauseFunc
 }
 
 type callKey struct{}
 
-// left queries the connection. If the caller has closed it, the request's context
-// is cancelled.
+// left reports whether the request's context has ended, and otherwise queries the
+// connection. If the caller has closed it, the context is cancelled.
 func (c *call) left(noticed *metrics.Counter) bool {
+	if c.ctx.Err() != nil {
+		return true
+	}
 	if !peerClosed(c.conn) {
 		return false
 	}
@@ -73,11 +77,8 @@
 // the connection; the context is then cancelled with ErrCallerLeft. Without a
 // watched connection only the context counts.
 func Left(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return true
-	}
 	c, ok := ctx.Value(callKey{}).(*call)
-	return ok && c.left(noticedBeforeSend)
+	return ctx.Err() != nil || ok && c.left(noticedBeforeSend)
 }
 
 // Watcher cancels the contexts of open requests whose callers have closed their
@@ -100,7 +101,7 @@
 			return
 		}
 		ctx, cancel := context.WithCancelCause(r.Context())
-		c := &call{conn: conn, cancel: cancel}
+		c := &call{ctx: ctx, conn: conn, cancel: cancel}
 		w.add(c)
 		defer w.remove(c)
 		next.ServeHTTP(rw, r.WithContext(context.WithValue(ctx, callKey{}, c)))
