--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -72,7 +72,8 @@
 	// bodies.
 	callers *budget.Connections
 	bodies  *budget.SharedMemory
-	leaving atomic.Bool
+	// leaving is set once the node stops, draining once it takes no new requests.
+	leaving, draining atomic.Bool
 }
 
 // New assembles a node and opens its listeners.
@@ -171,7 +172,8 @@
 	n.callers.Export()
 	callers := &platform.CallerHandler{
 		Relay: n.relay, BodyLimit: n.bodyLimit, Bodies: n.bodies, Owner: n.organisation, Log: n.log,
-		Closing: func() bool { return n.leaving.Load() || n.callers.Crowded() },
+		Draining: n.draining.Load,
+		Closing:  func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
 	addresses := &directory{members: n.members, maxTTL: s.Bounds.DirectoryTTL.Std()}
 	out := newServers(n.idleLimit)
@@ -258,6 +260,9 @@
 	// exitReserve is the time before the end of the grace period at which the
 	// node aborts open requests.
 	exitReserve = 700 * time.Millisecond
+	// refuseTime is how long requests that arrive when the node no longer accepts any
+	// are still refused with an answer, before connections are closed unread.
+	refuseTime = 300 * time.Millisecond
 )
 
 // Stop leaves the fleet, serves callers with cached directory answers for a
@@ -270,6 +275,8 @@
 	n.members.Leave()
 	n.registry.leave(context.Background())
 	time.Sleep(time.Duration(acceptShare * float64(grace)))
+	n.draining.Store(true)
+	time.Sleep(refuseTime)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitReserve))
 	defer cancel()
 	drainErr := n.servers.shutdown(ctx)
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -59,6 +59,9 @@
 		listener: connections.Listener(l), connections: connections, callers: callers,
 	}
 	out.ConnState = connections.ConnState
+	// Connections that were never used would otherwise be kept for some seconds, and
+	// their first request closed although it has been read.
+	out.RegisterOnShutdown(func() { connections.CloseIdle(0) })
 	if callers {
 		out.Handler, out.ConnContext = s.hangups.Handler(handler), hangup.ConnContext
 	}
