--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -31,6 +31,7 @@
 	}
 	f.checkCrashes()
 	f.checkDepartures()
+	f.checkWishes()
 	f.event("%d of %d requests served, %d after the faults", served, len(f.outcomes), afterFaults)
 	if afterFaults < callerCount {
 		f.t.Errorf("only %d requests after the faults", afterFaults)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -232,7 +232,7 @@
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
 	var all sync.WaitGroup
-	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore} {
+	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner} {
 		random := rand.New(rand.NewSource(f.seed*10 + int64(series)))
 		all.Go(func() {
 			for time.Now().Before(end) {
