--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -50,7 +50,7 @@
 	// than usual.
 	answerShare = 0.125
 	// bodyShare is the share of the host's memory for the bodies of requests.
-	bodyShare = 0.25
+	bodyShare = 0.35
 	// refusingLimit is how long a node may refuse connections and still be ready.
 	refusingLimit = time.Second
 )
