--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -297,7 +297,7 @@
 	a := &attempt{upstream: u, started: now, cancel: cancel, flow: f, release: s.opts.Canary.SendStarted(u, f.route, f.model)}
 	f.observed = s.opts.Quarantine.Sent(u.ID, f.request.ID, f.sharedParts)
 	f.tried[u.Incarnation()] = true
-	f.lastUpstream, f.sentAt, f.answeredAt = u, now, time.Time{}
+	f.lastUpstream, f.sentAt, f.answeredAt, f.progressedAt = u, now, time.Time{}, time.Time{}
 	a.prefill = s.opts.Prefill.Estimate(model, f.uncachedTokens())
 	s.opts.Table.Opened(u, a.prefill, now)
 	answer, err := s.opts.Client.Send(ctx, &Send{
@@ -478,13 +478,17 @@
 
 // countsAgainstUpstream reports whether a failure is attributed to the upstream.
 // It is not if the caller left or the deadline expired before the upstream
-// exceeded the latency objective, nor if the application fails the request at a
+// exceeded the latency objective, nor if the caller left a stream whose events
+// arrived in time, nor if the application fails the request at a
 // second upstream too; the failure of the first is then retracted.
 func (f *flow) countsAgainstUpstream(ctx context.Context, u *topology.Upstream, fail failure, now time.Time) bool {
 	ended := ctx.Err() != nil || f.deadline.Sub(now) < minRemaining
 	if ended && now.Sub(f.sentAt) < f.route.TargetLatency || fail.unwanted {
 		return false
 	}
+	if errors.Is(ctx.Err(), context.Canceled) && f.steady(now) {
+		return false
+	}
 	if !fail.reported {
 		return true
 	}
@@ -496,6 +500,15 @@
 	return true
 }
 
+// steady reports whether the latest send is answered and its events arrive in time.
+func (f *flow) steady(now time.Time) bool {
+	gap := f.route.GapTarget
+	if gap <= 0 {
+		gap = f.route.TargetLatency
+	}
+	return !f.progressedAt.IsZero() && now.Sub(f.progressedAt) <= gap
+}
+
 // mayRepeat reports whether the request may be sent to one more upstream, and
 // takes that send from the retry budget. A request that has not reached any
 // upstream yet needs no budget.
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -130,12 +130,13 @@
 	tried        map[topology.Incarnation]bool
 	lastUpstream *topology.Upstream
 	// sentAt is the start of the latest send, answeredAt the start of its
-	// answer, zero before; firstFailed is the first upstream whose application
+	// answer and progressedAt its latest event, zero before; firstFailed is the first upstream whose application
 	// reported a failure, or nil.
-	sentAt      time.Time
-	answeredAt  time.Time
-	firstFailed *topology.Upstream
-	model       string
+	sentAt       time.Time
+	answeredAt   time.Time
+	progressedAt time.Time
+	firstFailed  *topology.Upstream
+	model        string
 	// delivered is the id of the last event sent to the caller; begun is set once
 	// the headers of a stream have been sent.
 	delivered int64
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -198,6 +198,8 @@
 // request that the application fails at every upstream.
 func TestFailuresNotCountedAgainstUpstream(t *testing.T) {
 	fails := answers(500, "no")
+	steady := sendsEndlessly(event(1), event(1), 50*time.Millisecond)
+	stream := func(r *Request) { r.Path = "/draft/1" }
 	for _, tc := range []struct {
 		name            string
 		a, b            func(context.Context, *Send) (*Answer, error)
@@ -206,6 +208,8 @@
 		avoided         bool
 	}{
 		{"caller disconnects early", silent, silent, nil, 50 * time.Millisecond, false},
+		{"caller disconnects late from a steady stream", steady, steady, stream, 600 * time.Millisecond, false},
+		{"caller disconnects late without an answer", silent, silent, stream, 600 * time.Millisecond, true},
 		{"short deadline", silent, silent, func(r *Request) { r.Timeout = 60 * time.Millisecond }, 0, false},
 		{"fails everywhere", fails, fails, nil, 0, false},
 		{"fails at one upstream", fails, answers(200, "ok"), nil, 0, true},
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -172,6 +172,7 @@
 func (f *flow) recordFirstEvent(a *attempt) {
 	s := f.service
 	now := s.clock.Now()
+	f.progressedAt = now
 	f.observed.Progress()
 	if f.answeredAt.IsZero() {
 		f.answeredAt = now
