--- a/pkg/budget/descriptors.go
+++ b/pkg/budget/descriptors.go
@@ -36,7 +36,7 @@
 	}
 	free := float64(max(limit-reservedFiles, reservedFiles))
 	return Descriptors{
-		Callers: int(callerShare * free), IdleUpstreams: int(idleUpstreamShare * free),
+		Callers: int(callerShare * free), IdleUpstreams: max(int(idleUpstreamShare*free), 1),
 		Directory: max(int(directoryShare*free), 1), Operators: max(int(operatorShare*free), 1),
 	}
 }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -129,9 +129,9 @@
 	mayHaveRun   bool
 	tried        map[topology.Incarnation]bool
 	lastUpstream *topology.Upstream
-	// sentAt is the start of the latest send, answeredAt the start of its
-	// answer and progressedAt its latest event, zero before; firstFailed is the first upstream whose application
-	// reported a failure, or nil.
+	// sentAt is the start of the latest send, answeredAt that of its answer and
+	// progressedAt the time of its latest event, zero before; firstFailed is the first
+	// upstream whose application reported a failure, or nil.
 	sentAt       time.Time
 	answeredAt   time.Time
 	progressedAt time.Time
