--- a/pkg/hangup/hanguptest/gone.go
+++ b/pkg/hangup/hanguptest/gone.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,40 +13,51 @@
 )
 
 const (
-	// closeTime is enough for the closes to reach the server's side.
-	closeTime = 20 * time.Millisecond
-	// serveTime bounds how long the requests may take.
+	// arriveTime is enough for bytes and closes to reach the server.
+	arriveTime = 10 * time.Millisecond
+	// serveTime bounds how long a request may take.
 	serveTime = 10 * time.Second
 )
 
-// ServeGone serves the requests of callers that have written them and closed their
-// connections before the server accepts them. It returns when all requests have
-// ended.
+// ServeGone serves requests whose callers leave before the handler runs. Each caller
+// has sent the start of a next request, so that net/http does not notice that it
+// leaves; only a query of its connection does.
 func ServeGone(t *testing.T, callers int, request string, handler http.Handler) {
 	t.Helper()
-	var ended atomic.Int64
+	began, left, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	front := httptest.NewUnstartedServer(hangup.NewWatcher().Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer ended.Add(1)
+		defer func() { ended <- struct{}{} }()
+		began <- struct{}{}
+		<-left
 		handler.ServeHTTP(w, r)
 	})))
 	front.Config.ConnContext = hangup.ConnContext
+	front.Start()
 	t.Cleanup(front.Close)
 	for range callers {
 		conn, err := net.Dial("tcp", front.Listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = io.WriteString(conn, request)
-		if err != nil {
+		if _, err := io.WriteString(conn, request); err != nil {
 			t.Fatal(err)
 		}
+		await(t, began)
+		time.Sleep(arriveTime)
+		_, _ = io.WriteString(conn, "G") // The server has read its caller's request.
+		time.Sleep(arriveTime)
 		_ = conn.Close() // The caller leaves in any case.
+		time.Sleep(arriveTime)
+		left <- struct{}{}
+		await(t, ended)
 	}
-	time.Sleep(closeTime)
-	front.Start()
-	for end := time.Now().Add(serveTime); ended.Load() < int64(callers); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%d of %d requests have ended", ended.Load(), callers)
-		}
+}
+
+func await(t *testing.T, happened <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-happened:
+	case <-time.After(serveTime):
+		t.Fatalf("the request takes longer than %v", serveTime)
 	}
 }
--- a/pkg/holdoff/holdoff_test.go
+++ b/pkg/holdoff/holdoff_test.go
@@ -150,3 +150,13 @@
 		t.Errorf("%d requests open half a second after the opening", most)
 	}
 }
+
+// TestRefusalIsBounded guards against a refusal that closes an upstream for longer
+// than MaxRefusal, whoever decoded it.
+func TestRefusalIsBounded(t *testing.T) {
+	var b Belief
+	now := time.Now()
+	if b.Refused(time.Hour, now); b.Until().After(now.Add(MaxRefusal)) {
+		t.Errorf("refused for %s", b.Until().Sub(now))
+	}
+}
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -138,6 +138,13 @@
 			for svc.opts.Cold.Take(svc.upstream("a"), 10, svc.node.ids, time.Now()) {
 			}
 		}, "b"},
+		{"cold limit used up everywhere", func(svc *testService) {
+			svc.upstream("a").ColdUntil, svc.upstream("b").Draining = time.Now().Add(time.Minute), true
+			for svc.opts.Cold.Take(svc.upstream("a"), 10, svc.node.ids, time.Now()) {
+			}
+		}, ""},
+		{"refusing", func(svc *testService) { svc.opts.Table.Refused(svc.upstream("a"), 5*time.Second, time.Now()) }, "b"},
+		{"leaving", func(svc *testService) { svc.opts.Table.Left(svc.upstream("a"), time.Now()) }, "b"},
 		{"all draining", func(svc *testService) { svc.upstream("a").Draining, svc.upstream("b").Draining = true, true }, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/upstream/gone_test.go
+++ b/pkg/upstream/gone_test.go
@@ -14,7 +14,7 @@
 	var arrived atomic.Int64
 	engine := startEngine(t, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
 	client := newTestClient(t)
-	hanguptest.ServeGone(t, 100, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	hanguptest.ServeGone(t, 5, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := client.Complete(r.Context(), testCall(engine)); err == nil {
 			t.Error("a request without an answer succeeded")
 		}
