--- a/pkg/edge/budget_test.go
+++ b/pkg/edge/budget_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"cassiapin/pkg/settings"
+	"cassiapin/platform/platformtest"
 )
 
 // TestHeldConnectionsLeaveRoom guards against callers that hold connections and
@@ -25,7 +25,7 @@
 		conn := dialRaw(t, n.settings.Entry)
 		if i%2 == 0 { // The others never send a request.
 			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-			_, _ = io.WriteString(conn, strings.ReplaceAll(rawRequest("/lookup/1", fmt.Sprint(i)), "1500", "5000"))
+			_, _ = io.WriteString(conn, platformtest.RawRequest("/lookup/1", fmt.Sprint(i), 5*time.Second))
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err != nil || response.StatusCode != http.StatusOK {
 				t.Fatalf("connection %d: %v, %+v", i, err, response)
--- a/pkg/edge/gone_test.go
+++ b/pkg/edge/gone_test.go
@@ -41,8 +41,7 @@
 
 // rawRequest is a request with a body, as a caller writes it.
 func rawRequest(path, id string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer key\r\n"+
-		"Deadline-Milliseconds: 1500\r\nContent-Length: 4\r\n\r\nbody", path, platformtest.Host, id)
+	return platformtest.RawRequest(path, id, 1500*time.Millisecond)
 }
 
 func dialRaw(t *testing.T, address string) *net.TCPConn {
--- a/test/soak/leavers_test.go
+++ b/test/soak/leavers_test.go
@@ -111,8 +111,7 @@
 	l.sent++
 	id = fmt.Sprintf("%s-%d", l.name, l.sent)
 	// On a failed write the node has a fault, and the request does not arrive.
-	_, _ = fmt.Fprintf(conn, "POST %s1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer key\r\n"+
-		"Deadline-Milliseconds: %d\r\nContent-Length: 4\r\n\r\nbody", path, platformtest.Host, id, requestTimeout.Milliseconds())
+	_, _ = io.WriteString(conn, platformtest.RawRequest(path+"1", id, requestTimeout))
 	return id
 }
 
