Send configurations as differences, and deny only by a current one

A node that had missed the notices read every version since its own by a watch; the nodes of the region without the store filled the link between the regions, their calls timed out and began again (65 times for the configuration alone), and versions reached the last node up to 4.5 s after the first. A node that cannot apply it fetches the whole one, compressed, from its parent, or lists it: one copy, never one for each version. 401 and 404 are given only by a configuration that is confirmed and newest as far as the node knows (storeview.Current); otherwise the request waits up to 0.5 s and is then refused as not run. TestOneCallPerChange becomes TestNoCallPerChange, which is stricter.

--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -137,12 +137,23 @@
 	awaited atomic.Int64
 	view    *topology.View
 	ids     []string
+	// outdated is set while the view may lack changes; onAwaitCurrent, if set, is
+	// called by requests that wait for them.
+	outdated       bool
+	onAwaitCurrent func()
 }
 
-func (n *fakeNode) View() *topology.View              { return n.view }
-func (n *fakeNode) Changed() <-chan struct{}          { return nil }
-func (n *fakeNode) Age(storeview.Kind) time.Duration  { return 0 }
-func (n *fakeNode) AwaitConfirmed(context.Context)    { n.awaited.Add(1) }
+func (n *fakeNode) View() *topology.View             { return n.view }
+func (n *fakeNode) Changed() <-chan struct{}         { return nil }
+func (n *fakeNode) Age(storeview.Kind) time.Duration { return 0 }
+func (n *fakeNode) AwaitConfirmed(context.Context)   { n.awaited.Add(1) }
+
+func (n *fakeNode) AwaitCurrent(context.Context, storeview.Kind, time.Duration) bool {
+	if n.onAwaitCurrent != nil {
+		n.onAwaitCurrent()
+	}
+	return !n.outdated
+}
 func (n *fakeNode) Nodes() []string                   { return n.ids }
 func (n *fakeNode) Self() string                      { return "self" }
 func (n *fakeNode) Peers() []string                   { return nil }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -33,6 +33,9 @@
 	// AwaitConfirmed returns once the view is known to be current, or cannot be
 	// confirmed, after the process was paused.
 	AwaitConfirmed(ctx context.Context)
+	// AwaitCurrent waits until the view of a kind includes all changes that must
+	// have taken effect, at most for the given time, and reports whether it does.
+	AwaitCurrent(ctx context.Context, kind storeview.Kind, limit time.Duration) bool
 }
 
 // Fleet lists the nodes that serve callers.
@@ -95,7 +98,7 @@
 	defer s.open.Add(-1)
 	s.opts.Views.AwaitConfirmed(ctx)
 	f := &flow{service: s, request: r, out: out, sharedParts: r.SharedParts(), tried: make(map[topology.Incarnation]bool)}
-	if !f.admit() {
+	if !f.admit(ctx) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
@@ -150,24 +153,24 @@
 
 // admit resolves the route, organisation and deadline. It refuses requests that
 // the configuration does not allow and returns false for them.
-func (f *flow) admit() bool {
-	f.view = f.service.opts.Views.View()
-	config := f.view.Config
-	if config == nil {
-		f.refuse(result.NoConfiguration, unconfiguredRetry(f.request.Timeout), "no configuration has been read yet")
-		return false
-	}
+func (f *flow) admit(ctx context.Context) bool {
 	r := f.request
-	if f.route = config.Route(r.Host, r.Path); f.route == nil {
-		f.refuse(result.NotFound, 0, "no route for this host and path")
-		return false
-	}
-	if config.Authenticated() && !f.route.Public {
-		if f.organisation = config.Organisation(r.Key); f.organisation == nil {
-			f.refuse(result.Unauthenticated, 0, "unknown API key")
-			return false
+	denial, reason := f.resolve()
+	if denial != 0 && denial != result.NoConfiguration {
+		current := f.service.opts.Views.AwaitCurrent(ctx, storeview.Configurations, denialWait(r.Timeout))
+		if denial, reason = f.resolve(); denial != 0 && !current {
+			denial, reason = result.NoConfiguration, reason+", and the configuration cannot be confirmed"
 		}
 	}
+	switch denial {
+	case 0:
+	case result.NoConfiguration:
+		f.refuse(denial, unconfiguredRetry(r.Timeout), reason)
+		return false
+	default:
+		f.refuse(denial, 0, reason)
+		return false
+	}
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -182,6 +185,43 @@
 	return true
 }
 
+// resolve looks up the route and the organisation in the newest configuration. It
+// returns the code and the reason of a denial, or zero.
+func (f *flow) resolve() (denial result.Code, reason string) {
+	f.view = f.service.opts.Views.View()
+	config, r := f.view.Config, f.request
+	if config == nil {
+		return result.NoConfiguration, "no configuration has been read yet"
+	}
+	if f.route = config.Route(r.Host, r.Path); f.route == nil {
+		return result.NotFound, "no route for this host and path"
+	}
+	if config.Authenticated() && !f.route.Public {
+		if f.organisation = config.Organisation(r.Key); f.organisation == nil {
+			return result.Unauthenticated, "unknown API key"
+		}
+	}
+	return 0, ""
+}
+
+const (
+	// maxDenialWait bounds how long a request that the known configuration does not
+	// allow waits for the current one, and denialWaitDivisor divides the caller's
+	// timeout into that time.
+	maxDenialWait     = 500 * time.Millisecond
+	denialWaitDivisor = 4
+)
+
+// denialWait returns how long a request that the known configuration does not allow
+// may wait for the current one: a node that has missed changes must not deny what
+// they allow.
+func denialWait(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return maxDenialWait
+	}
+	return min(timeout/denialWaitDivisor, maxDenialWait)
+}
+
 const (
 	// unconfiguredRetryDivisor divides the caller's timeout into the retry delay
 	// of a node without a configuration: during a store outage it is unknown
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// TestOutdatedViewDoesNotDeny guards against 401 and 404 from a node that has missed
+// configurations: the request waits for the current one, and is refused as not run
+// if that does not arrive.
+func TestOutdatedViewDoesNotDeny(t *testing.T) {
+	for name, change := range map[string]func(r *Request){
+		"path": func(r *Request) { r.Path, r.Target = "/nowhere/", "/nowhere/" }, "key": func(r *Request) { r.Key = "other" },
+	} {
+		svc := newTestService(t)
+		svc.node.outdated = true
+		resp := svc.run("/lookup/1", change, func(r *Request) { r.Timeout = 20 * time.Second })
+		if resp.refusal == nil || resp.refusal.Code != result.NoConfiguration || resp.refusal.RetryAfter == 0 {
+			t.Errorf("%s unknown to an outdated node: %+v, want code %d with a delay", name, resp.refusal, result.NoConfiguration)
+		}
+	}
+	svc := newTestService(t)
+	svc.client.scripts["a"] = answers(200, "ok")
+	complete := svc.node.view
+	svc.node.view = &topology.View{Config: &topology.Config{Version: 1}, Upstreams: complete.Upstreams}
+	svc.node.onAwaitCurrent = func() { svc.node.view = complete }
+	if resp := svc.run("/lookup/1"); resp.status != 200 {
+		t.Errorf("a route that the node learns while the request waits: status %d, refusal %+v", resp.status, resp.refusal)
+	}
+}
+
 // TestSendsOnlyToEligibleUpstreams guards against sends to upstreams that are
 // not eligible for the request.
 func TestSendsOnlyToEligibleUpstreams(t *testing.T) {
--- /dev/null
+++ b/pkg/storeview/current_test.go
@@ -0,0 +1,91 @@
+package storeview
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/topology"
+)
+
+// TestOneCopyOfSeveral guards against a node that has missed the notices of several
+// configurations and then reads each of them: many such nodes fill the link to the
+// store's region, and none gets the last one in time.
+func TestOneCopyOfSeveral(t *testing.T) {
+	store := newFakeStore()
+	h := &hub{}
+	reader := h.join(0)
+	waitFor(t, startWith(t, &client{fakeStore: store}, reader), 1, time.Second)
+	service := startWith(t, &client{fakeStore: store}, h.join(Readers))
+	waitFor(t, service, 1, time.Second)
+	time.Sleep(effectiveIn / 2)
+
+	reader.dropNotices.Store(true)
+	const last = 40
+	for v := topology.Revision(2); v <= last; v++ {
+		store.set(func() { store.version = v })
+	}
+	time.Sleep(effectiveIn / 4) // The reader has them.
+	before := store.copies.Load()
+	waitFor(t, service, last, effectiveIn)
+	if copies := store.copies.Load() - before; copies > 1 {
+		t.Errorf("%d copies for one node, want 1", copies)
+	}
+}
+
+// TestCurrent guards against denials by a view that may lack changes: one that no
+// answer or notice has confirmed within the bound, or while a later configuration
+// is announced.
+func TestCurrent(t *testing.T) {
+	_, listener, s := fleet(t)
+	if !s.Current(Configurations) {
+		t.Fatal("a node that gets notices is not current")
+	}
+	s.announced[Configurations].Store(1000)
+	if s.Current(Configurations) {
+		t.Error("current although a later configuration is announced")
+	}
+	s.announced[Configurations].Store(0)
+
+	s.opts.Peers.(*hubPeer).hub.peers[0].dropNotices.Store(true)
+	listener.unavailable.Store(true)
+	time.Sleep(effectiveIn)
+	if s.AwaitCurrent(context.Background(), Configurations, 50*time.Millisecond) {
+		t.Error("current although nothing has confirmed it within the bound")
+	}
+	listener.unavailable.Store(false)
+	if !s.AwaitCurrent(context.Background(), Configurations, time.Second) {
+		t.Error("not current after the store answers again")
+	}
+}
+
+// TestObjectEncodings restores an object from its difference and from its compressed
+// form, and refuses one of a configuration that this node does not have.
+func TestObjectEncodings(t *testing.T) {
+	base := Object{Name: "main", Revision: 7, Spec: []byte(strings.Repeat(`{"name":"a"},`, 100))}
+	next := Object{Name: "main", Revision: 9, Spec: append([]byte(`{"name":"b"},`), base.Spec...)}
+	for _, tc := range []struct {
+		name    string
+		changes []NoticeChange
+		known   topology.Revision
+		want    bool
+	}{
+		{"difference", patchChanges(base, []Change{{Object: Object{Name: "main", Revision: 8}}, {Object: next}}), 7, true},
+		{"difference from an unknown one", patchChanges(base, []Change{{Object: next}}), 6, false},
+		{"compressed", packChanges([]Change{{Object: next}}), 6, true},
+	} {
+		s := New(Options{})
+		s.config = base
+		s.config.Revision = tc.known
+		n := Notice{Changes: tc.changes}
+		if got := (&follower{service: s}).expand(&n); got != tc.want {
+			t.Errorf("%s: expanded %t, want %t", tc.name, got, tc.want)
+		} else if got && string(n.Changes[0].Spec) != string(next.Spec) {
+			t.Errorf("%s: another object", tc.name)
+		}
+	}
+	if patchChanges(base, []Change{{Object: base, Deleted: true}}) != nil {
+		t.Error("a removed configuration has a difference")
+	}
+}
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -90,10 +90,10 @@
 // call makes the follower's next call to the store.
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
-	start, before, began := s.clock.Now(), f.changed, s.pauses.now()
+	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
 	var changes []Change
 	switch {
-	case !f.listed:
+	case !f.listed || f.missesSeveral():
 		if f.from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.listed, f.latency, f.changed = true, max(s.clock.Since(start), 1), f.from
 		}
@@ -120,11 +120,23 @@
 		s.mu.Lock()
 		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value()}
 		s.mu.Unlock()
-		f.publishChanges(before, changes)
+		f.publishChanges(before, base, changes)
 	}
 	return err
 }
 
+// missesSeveral reports whether the store may have several configurations that
+// this node does not know. A watch returns each of them whole, a list only the
+// last: after a series of changes, many nodes that watch from the revision before
+// it would fill the link between two regions.
+func (f *follower) missesSeveral() bool {
+	rank := f.service.rank()
+	if f.kind != Configurations || rank == 0 {
+		return false
+	}
+	return f.pending > f.from || rank >= Readers && f.failedSince.IsZero() && f.freshFor() <= 0
+}
+
 // maxAppearedLead bounds how far back changedBetween estimates: a node that was
 // cut off for longer knows less than the others.
 const maxAppearedLead = 1250 * time.Millisecond
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -71,6 +71,11 @@
 	Deleted  bool              `cbor:"5,keyasint,omitempty"`
 	Spec     []byte            `cbor:"6,keyasint,omitempty"`
 	Status   []byte            `cbor:"7,keyasint,omitempty"`
+	// Patch replaces Spec: its difference from that of the object's revision Base.
+	Patch []byte            `cbor:"8,keyasint,omitempty"`
+	Base  topology.Revision `cbor:"9,keyasint,omitempty"`
+	// Packed replaces Spec: its compressed form.
+	Packed []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Peers are the other nodes.
@@ -109,17 +114,18 @@
 	maxNoticeAgeShare = 0.72
 	standbyShare      = 0.54
 	standbyStep       = 0.06
-	// noticeBytes bounds the changes in a notice. Configurations are never
-	// included: gossip sends a copy over many links, and those between regions
-	// are billed by volume, so each node reads them from the store.
+	// noticeBytes bounds the changes in a notice, since gossip sends a copy over
+	// many links, and those between regions are billed by volume. A configuration
+	// is included as its difference from the one before.
 	noticeBytes = 16 << 10
 	// noticeQueue bounds the queued notices per kind.
 	noticeQueue = 64
 )
 
 // publishChanges sends the changes that a reader's watch has returned. Those of
-// a list are not sent: the other nodes watch from their own revisions.
-func (f *follower) publishChanges(before topology.Revision, changes []Change) {
+// a list are not sent: the other nodes watch from their own revisions. base is the
+// configuration before the changes.
+func (f *follower) publishChanges(before topology.Revision, base Object, changes []Change) {
 	s := f.service
 	if s.opts.Peers == nil || s.rank() >= Readers {
 		return
@@ -131,12 +137,18 @@
 		return
 	}
 	n := Notice{Kind: f.kind, From: before, To: f.from, GraceMS: s.graceLeft().Milliseconds()}
+	var encoded []NoticeChange
+	if f.kind == Configurations {
+		encoded = patchChanges(base, changes)
+	} else {
+		encoded = noticeChanges(changes)
+	}
 	size := 0
-	for _, c := range changes {
-		size += len(c.Object.Spec) + len(c.Object.Status)
+	for _, c := range encoded {
+		size += len(c.Spec) + len(c.Status) + len(c.Patch)
 	}
-	if f.kind != Configurations && size <= noticeBytes {
-		n.Complete, n.Changes = true, noticeChanges(changes)
+	if len(encoded) > 0 && size <= noticeBytes {
+		n.Complete, n.Changes = true, encoded
 	}
 	s.send(n)
 }
@@ -313,9 +325,10 @@
 		return true // From a reader that lags; it has nothing new.
 	case n.digest != 0 && n.digest == f.digest():
 		// This node has the same objects, also if it has not read up to n.From.
-	case n.To > f.from && (!n.Complete || n.From > f.from):
+	case n.To > f.from && (!n.Complete || n.From > f.from || !f.expand(&n)):
 		f.latency = 0 // Makes the next call without a wait.
 		f.pending = max(f.pending, n.To)
+		s.announced[f.kind].Store(uint64(f.pending))
 		return false
 	}
 	s.lastAnswer[f.kind].Store(s.clock.Now().UnixNano())
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -195,16 +195,16 @@
 	}
 }
 
-// TestOneCallPerChange guards against more than one store call for a configuration
-// announced by a notice.
-func TestOneCallPerChange(t *testing.T) {
+// TestNoCallPerChange guards against store calls for a configuration that a notice
+// contains as a difference.
+func TestNoCallPerChange(t *testing.T) {
 	store, listener, service := fleet(t)
 	before := listener.calls.Load()
 	store.set(func() { store.version = 5 })
 	waitFor(t, service, 5, effectiveIn)
 	time.Sleep(2 * effectiveIn)
-	if calls := listener.calls.Load() - before; calls != 1 {
-		t.Errorf("%d calls for one configuration, want 1", calls)
+	if calls := listener.calls.Load() - before; calls > 0 {
+		t.Errorf("%d calls for one configuration, want 0", calls)
 	}
 }
 
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -121,7 +121,7 @@
 	}
 	return Reply{
 		Notice: Notice{
-			Kind: Configurations, From: q.After, To: known.from, Complete: true, Changes: noticeChanges([]Change{{Object: s.config}}),
+			Kind: Configurations, From: q.After, To: known.from, Complete: true, Changes: packChanges([]Change{{Object: s.config}}),
 		},
 		AgeMS: s.clock.Since(known.verified).Milliseconds(),
 	}, nil
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -121,6 +121,9 @@
 	// digests identify the current state of each kind; nil before the first
 	// list. mu guards them.
 	digests [Nodes]*digest
+	// announced is the latest revision that a notice has announced without its
+	// changes, by kind.
+	announced [Nodes]atomic.Uint64
 	// confirmed is the start of the latest successful call of each kind, in
 	// nanoseconds of the clock of pauses.
 	confirmed [Nodes]atomic.Int64
--- a/pkg/storeview/service_test.go
+++ b/pkg/storeview/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	watchStalled bool
 	unavailable  bool
 	calls        int
+	// copies counts the configurations in answers.
+	copies atomic.Int64
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{version: 1, changed: make(chan struct{})} }
@@ -51,6 +54,7 @@
 	if kind != Configurations {
 		return nil, f.version + f.others, nil
 	}
+	f.copies.Add(1)
 	return []Object{f.object()}, f.version + f.others, nil
 }
 
@@ -68,7 +72,12 @@
 			return nil, 0, errUnavailable
 		case !first && stalled:
 		case version > after && kind == Configurations:
-			return []Change{{Object: object}}, revision, nil
+			var changes []Change
+			for v := after + 1; v <= version; v++ {
+				changes = append(changes, Change{Object: Object{Name: object.Name, Revision: v}})
+			}
+			f.copies.Add(int64(len(changes)))
+			return changes, revision, nil
 		}
 		select {
 		case <-changed:
