Verify a certificate by its host's entry

Cause: a handshake with an unknown certificate listed all nodes, up to twice a second a node. After the restart of 54 of 90 nodes 469 to 609 of these lists timed out on the crowded link. Change: certificates name their host, and only that entry is read. The fingerprint in the entry proves the certificate, as before. Result: TestCertificatesCostOneEntryEach; the list counted one whole list for each certificate before.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -95,7 +95,7 @@
 func (n *Node) assemble(id string) ([]kernel.Service, error) {
 	s := n.settings
 	debug.SetMemoryLimit(int64(gcShare * float64(s.MemoryBytes())))
-	pair, err := keys.MakeEphemeralCert(time.Now())
+	pair, err := keys.MakeEphemeralCert(s.Host, time.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -258,14 +258,37 @@
 }
 
 // TestUnknownCertificate guards against trusting a process that has no entry in
-// the store.
+// the store, or that names the host of another node.
 func TestUnknownCertificate(t *testing.T) {
 	f := newFleet(t, 2)
 	r := f.nodes[0].registry
-	if r.isTrusted("0123") {
-		t.Error("an unknown certificate is trusted")
+	host, fingerprint := f.nodes[1].registry.host, f.nodes[1].registry.own.Fingerprint
+	for _, other := range []string{host, "front-9", "", "a certificate of an earlier release"} {
+		if r.isTrusted(other, "0123") {
+			t.Errorf("an unknown certificate that names host %q is trusted", other)
+		}
 	}
-	if !r.isTrusted(f.nodes[1].registry.own.Fingerprint) || r.nodeCount() != 2 {
+	if !r.isTrusted(host, fingerprint) || r.nodeCount() != 2 {
 		t.Errorf("the other node is not trusted, %d known", r.nodeCount())
 	}
 }
+
+// TestCertificatesCostOneEntryEach guards against a list of all nodes for each new
+// certificate: when many nodes start, these lists fill the links to the store.
+func TestCertificatesCostOneEntryEach(t *testing.T) {
+	f := newFleet(t, 1)
+	for i := range 200 {
+		f.store.Put("cassiapin-nodes", fmt.Sprintf("other-%d", i), map[string]any{"fingerprint": fmt.Sprint("f", i)})
+	}
+	r := f.nodes[0].registry
+	lists := f.store.Lists("cassiapin-nodes")
+	for i := range 5 {
+		if host := fmt.Sprintf("other-%d", i); !r.isTrusted(host, fmt.Sprint("f", i)) {
+			t.Errorf("the certificate of %s is not trusted", host)
+		}
+	}
+	// A node without others looks for them from time to time, which is one list.
+	if n, whole := f.store.Lists("cassiapin-nodes")-lists, (200+1)/f.store.PageSize()+1; n > whole {
+		t.Errorf("%d pages of lists for five certificates, want at most %d", n, whole)
+	}
+}
--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -30,6 +30,7 @@
 // entryStore stores the entries. It is implemented by platform.Store.
 type entryStore interface {
 	List(ctx context.Context, kind storeview.Kind) ([]storeview.Object, topology.Revision, error)
+	Get(ctx context.Context, kind storeview.Kind, name string) (storeview.Object, error)
 	Put(ctx context.Context, kind storeview.Kind, name string, spec any) error
 	Delete(ctx context.Context, kind storeview.Kind, name string) error
 }
@@ -128,8 +129,11 @@
 	}
 }
 
-// isTrusted reports whether a certificate belongs to a node of the fleet.
-func (r *registry) isTrusted(fingerprint string) bool {
+// isTrusted reports whether a certificate belongs to a node of the fleet. It reads
+// only the entry of the host that the certificate names: after a power failure each
+// node meets many new certificates, and lists of all nodes for each would fill the
+// links to the store.
+func (r *registry) isTrusted(host, fingerprint string) bool {
 	arrived := time.Now()
 	wait := vouchWaitMin + rand.N(vouchWaitMax-vouchWaitMin)
 	for !r.has(fingerprint) && time.Since(arrived) < wait {
@@ -140,14 +144,29 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	r.refresh(ctx, arrived)
-	known := r.has(fingerprint)
+	known := r.registered(ctx, host, fingerprint)
 	if !known {
-		r.log.Warn(eventlog.PeerRefused, "fingerprint", fingerprint, "known", r.nodeCount())
+		r.log.Warn(eventlog.PeerRefused, "host", host, "fingerprint", fingerprint, "known", r.nodeCount())
 	}
 	return known
 }
 
+// registered reports whether a host's entry in the store has the fingerprint.
+func (r *registry) registered(ctx context.Context, host, fingerprint string) bool {
+	if host == "" {
+		return false
+	}
+	object, err := r.store.Get(ctx, storeview.Nodes, host)
+	var e entry
+	if err != nil || json.Unmarshal(object.Spec, &e) != nil || e.Fingerprint != fingerprint {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trusted[fingerprint] = true
+	return true
+}
+
 func (r *registry) has(fingerprint string) bool {
 	r.mu.Lock()
 	trusted := r.trusted[fingerprint]
--- a/pkg/peer/keys/keys.go
+++ b/pkg/peer/keys/keys.go
@@ -168,13 +168,14 @@
 	return errors.Wrap(os.Rename(tmp, path), "replace key file")
 }
 
-// MakeEphemeralCert returns a self-signed key pair that is kept in memory only.
-func MakeEphemeralCert(now time.Time) (tls.Certificate, error) {
+// MakeEphemeralCert returns a self-signed key pair of a host that is kept in memory
+// only. The certificate names the host.
+func MakeEphemeralCert(host string, now time.Time) (tls.Certificate, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return tls.Certificate{}, errors.Wrap(err, "generate node key")
 	}
-	tmpl, err := template("cassiapin node", now, nodeValidity)
+	tmpl, err := template(host, now, nodeValidity)
 	if err != nil {
 		return tls.Certificate{}, err
 	}
--- a/pkg/peer/tls.go
+++ b/pkg/peer/tls.go
@@ -27,9 +27,10 @@
 // discarded when the process exits, for hosts without key files.
 type Ephemeral struct {
 	// IsTrusted reports whether the node whose certificate has the fingerprint
-	// belongs to the fleet. It is called during the handshake and must not
-	// block for longer than the handshake timeout.
-	IsTrusted func(fingerprint string) bool
+	// belongs to the fleet. host is the host that the certificate names, which
+	// proves nothing. It is called during the handshake and must not block for
+	// longer than the handshake timeout.
+	IsTrusted func(host, fingerprint string) bool
 	// Certificate is the key pair to use.
 	Certificate tls.Certificate
 }
@@ -42,8 +43,15 @@
 
 // verify checks the certificate of the peer.
 func (e *Ephemeral) verify(raw [][]byte, _ [][]*x509.Certificate) error {
-	if len(raw) == 0 || !e.IsTrusted(Fingerprint(raw[0])) {
-		return errors.New("peer certificate is missing or does not belong to this fleet")
+	if len(raw) == 0 {
+		return errors.New("peer certificate is missing")
+	}
+	certificate, err := x509.ParseCertificate(raw[0])
+	if err != nil {
+		return errors.Wrap(err, "parse peer certificate")
+	}
+	if !e.IsTrusted(certificate.Subject.CommonName, Fingerprint(raw[0])) {
+		return errors.New("peer certificate does not belong to this fleet")
 	}
 	return nil
 }
