Announce large floods over all but one link

Change: a node that gets a large message twice asks the sender for announcements of that origin's further messages, and fetches what does not arrive (Plumtree, a tree for each origin). TestLazyPushHeals: a fifth of the nodes dead and undetected, a tenth of the messages lost or doubled, all live nodes get each message once.

--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"cassiapin/pkg/result"
 )
@@ -57,7 +58,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		r := NewRouter("self", nil, func(NodeID, Kind, []byte) error { return nil })
+		r := NewRouter("self", nil, func(NodeID, Kind, []byte) error { return nil }, func(time.Duration, func()) {})
 		r.Handle("k", func(_ context.Context, _ NodeID, body []byte) (any, error) {
 			var v any
 			return v, Decode(body, &v)
--- /dev/null
+++ b/pkg/peer/lazypush_test.go
@@ -0,0 +1,150 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/peer"
+	"cassiapin/pkg/peer/memnet"
+)
+
+const floodKind peer.Kind = "test.flood"
+
+// ring is an overlay in which each node's neighbours are at distances 1, 2, 4, ….
+type ring struct {
+	size, at int
+}
+
+func nodeID(i int) peer.NodeID { return peer.NodeID(fmt.Sprintf("node-%02d", i)) }
+
+func (r ring) Resolve(id peer.NodeID) (string, bool) { return string(id), true }
+
+func (r ring) Neighbours() []peer.NodeID {
+	var ids []peer.NodeID
+	for d := 1; d < r.size; d *= 2 {
+		ids = append(ids, nodeID((r.at+d)%r.size))
+	}
+	return ids
+}
+
+// flooded is a network whose nodes count the floods that they handle.
+type flooded struct {
+	network *memnet.Network
+	nodes   []*memnet.Endpoint
+	handled []map[int]int
+}
+
+func newFlooded(size int, o memnet.Options) *flooded {
+	f := &flooded{network: memnet.New(clock.NewFake(time.Unix(1_700_000_000, 0)), o)}
+	for i := range size {
+		e := f.network.AddNode(nodeID(i), string(nodeID(i)))
+		e.SetAddressBook(ring{size, i})
+		counts := map[int]int{}
+		e.Handle(floodKind, func(_ context.Context, _ peer.NodeID, body []byte) (any, error) {
+			var m flood
+			if err := peer.Decode(body, &m); err != nil {
+				return nil, err
+			}
+			counts[m.Number]++
+			return nil, nil
+		})
+		f.nodes, f.handled = append(f.nodes, e), append(f.handled, counts)
+	}
+	return f
+}
+
+type flood struct {
+	Number int    `cbor:"1,keyasint"`
+	Text   string `cbor:"2,keyasint"`
+}
+
+func (f *flooded) flood(t *testing.T, from, number int) {
+	t.Helper()
+	if err := f.nodes[from].Flood(floodKind, flood{number, strings.Repeat("x", 4000)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// reached counts the nodes that handled a flood, and fails for those that handled it
+// twice.
+func (f *flooded) reached(t *testing.T, number int) int {
+	t.Helper()
+	n := 0
+	for i, counts := range f.handled {
+		if counts[number] > 0 {
+			n++
+		}
+		if counts[number] > 1 {
+			t.Errorf("node %d handled flood %d %d times", i, number, counts[number])
+		}
+	}
+	return n
+}
+
+func (f *flooded) sentBytes() (total uint64) {
+	for _, e := range f.nodes {
+		total += e.Traffic().SentBytes
+	}
+	return total
+}
+
+// TestLazyPushCost answers many large floods of one node: each must cost less than
+// twice the copies that the others need, where a plain flood costs one copy for each
+// neighbour.
+func TestLazyPushCost(t *testing.T) {
+	const size, floods = 60, 20
+	f := newFlooded(size, memnet.Options{Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond, Seed: 1})
+	f.flood(t, 0, 0)
+	f.network.Run(time.Second)
+	before := f.sentBytes()
+	for i := 1; i <= floods; i++ {
+		f.flood(t, 0, i)
+		f.network.Run(time.Second)
+	}
+	for i := range floods + 1 {
+		if n := f.reached(t, i); n != size-1 {
+			t.Errorf("flood %d reached %d of %d nodes", i, n, size-1)
+		}
+	}
+	copies := float64(f.sentBytes()-before) / floods / (size - 1) / 4000
+	t.Logf("%.2f times the bytes of one copy for each node", copies)
+	if copies > 2 {
+		t.Errorf("%.2f times the bytes of one copy for each node, want at most 2", copies)
+	}
+}
+
+// TestLazyPushHeals guards against nodes that no longer get an origin's floods once
+// nodes on the way to them have failed or messages are lost.
+func TestLazyPushHeals(t *testing.T) {
+	const size = 60
+	for name, o := range map[string]memnet.Options{
+		"sound":               {Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond, Seed: 1},
+		"a tenth is lost":     {Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond, Seed: 2, Loss: 0.1},
+		"a tenth comes twice": {Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond, Seed: 3, Duplicate: 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFlooded(size, o)
+			for i := range 5 {
+				f.flood(t, 0, i)
+				f.network.Run(time.Second)
+			}
+			// A fifth of the nodes fail; membership has not noticed yet.
+			dead := 0
+			for i := 3; i < size; i += 5 {
+				f.nodes[i].Close()
+				dead++
+			}
+			for i := 5; i < 10; i++ {
+				f.flood(t, 0, i)
+				f.network.Run(time.Second)
+				if n, want := f.reached(t, i), size-1-dead; n != want {
+					t.Errorf("flood %d reached %d of %d live nodes", i, n, want)
+				}
+			}
+		})
+	}
+}
--- a/pkg/peer/memnet/memnet.go
+++ b/pkg/peer/memnet/memnet.go
@@ -157,7 +157,7 @@
 // AddNode adds a node to the network.
 func (n *Network) AddNode(id peer.NodeID, address string) *Endpoint {
 	e := &Endpoint{net: n, id: id, address: address, senders: make(map[peer.NodeID]string)}
-	e.router = peer.NewRouter(id, nil, e.send)
+	e.router = peer.NewRouter(id, nil, e.send, n.after)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.nodes[id] = e
@@ -165,6 +165,13 @@
 	return e
 }
 
+// after runs a function after a delay of the network's clock.
+func (n *Network) after(d time.Duration, f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.schedule(d, f)
+}
+
 // lookup returns the open endpoint at address if it matches the id to, and nil
 // otherwise. The caller must hold n.mu.
 func (n *Network) lookup(to peer.NodeID, address string) *Endpoint {
--- a/pkg/peer/router.go
+++ b/pkg/peer/router.go
@@ -113,12 +113,16 @@
 	current, previous map[floodID]struct{}
 }
 
+// has reports whether id is stored.
+func (f *duplicateFilter) has(id floodID) bool {
+	_, now := f.current[id]
+	_, before := f.previous[id]
+	return now || before
+}
+
 // add stores id and reports whether it was new.
 func (f *duplicateFilter) add(id floodID) bool {
-	if _, ok := f.current[id]; ok {
-		return false
-	}
-	if _, ok := f.previous[id]; ok {
+	if f.has(id) {
 		return false
 	}
 	if f.current == nil || len(f.current) >= maxFloodIDs {
@@ -147,15 +151,54 @@
 	book     AddressBook
 	filter   duplicateFilter
 	seq      uint64
+	lazy     *lazyPush
 }
 
-// NewRouter returns a router without handlers. A nil set disables metrics.
-func NewRouter(self NodeID, set *metrics.Set, send func(to NodeID, kind Kind, raw []byte) error) *Router {
-	return &Router{
+// NewRouter returns a router without handlers. A nil set disables metrics. after runs
+// a function after a delay.
+func NewRouter(
+	self NodeID, set *metrics.Set, send func(to NodeID, kind Kind, raw []byte) error, after func(d time.Duration, f func()),
+) *Router {
+	r := &Router{
 		self: self, send: send, set: set,
 		handlers: make(map[Kind]Handler),
 		counters: make(map[Kind]*kindMetrics),
+		lazy:     newLazyPush(send, after),
 	}
+	r.handleLazyPush()
+	return r
+}
+
+// handleLazyPush registers the handlers of the messages of lazy pushing.
+func (r *Router) handleLazyPush() {
+	for kind, handle := range map[Kind]func(from NodeID, ref floodRef){
+		kindPrune: func(from NodeID, ref floodRef) { r.lazy.prune(from, ref.Origin) },
+		kindFetch: func(from NodeID, ref floodRef) { r.lazy.fetched(from, floodID{ref.Origin, ref.Seq}) },
+		kindAnnounce: func(from NodeID, ref floodRef) {
+			if id := (floodID{ref.Origin, ref.Seq}); ref.Origin != r.self && !r.seen(id) {
+				r.lazy.announced(from, id)
+			}
+		},
+	} {
+		r.handlers[kind] = func(_ context.Context, from NodeID, body []byte) (any, error) {
+			var ref floodRef
+			if err := Decode(body, &ref); err != nil {
+				return nil, err
+			}
+			if len(ref.Origin) > maxIDBytes {
+				return nil, result.New(result.BadMessage, "a node id of %d bytes", len(ref.Origin))
+			}
+			handle(from, ref)
+			return nil, nil
+		}
+	}
+}
+
+// seen reports whether a flooded message has arrived.
+func (r *Router) seen(id floodID) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.filter.has(id)
 }
 
 // SetAddressBook sets the address book.
@@ -223,9 +266,11 @@
 	if err != nil {
 		return err
 	}
-	for _, id := range book.Neighbours() {
-		if id != from && id != e.Origin && id != r.self {
-			_ = r.send(id, e.Kind, raw)
+	id := floodID{e.Origin, e.Seq}
+	r.lazy.keep(id, e.Kind, raw)
+	for _, to := range book.Neighbours() {
+		if to != from && to != e.Origin && to != r.self {
+			_ = r.lazy.push(to, id, e.Kind, raw)
 		}
 	}
 	return nil
@@ -256,6 +301,7 @@
 	r.mu.Unlock()
 	r.CountReceived(e.Kind, size)
 	if !fresh {
+		r.lazy.duplicate(from, e.Origin, size)
 		return nil, nil
 	}
 	if flooded {
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -123,7 +123,7 @@
 		links: make(map[NodeID]*link),
 		conns: make(map[*connection]struct{}),
 	}
-	t.router = NewRouter(o.Self, o.Metrics, t.enqueue)
+	t.router = NewRouter(o.Self, o.Metrics, t.enqueue, func(d time.Duration, f func()) { time.AfterFunc(d, f) })
 	t.dropped = o.Metrics.GetOrCreateCounter("cassiapin_peer_dropped_messages_total")
 	t.dials = o.Metrics.GetOrCreateCounter("cassiapin_peer_dials_total")
 	t.dialErrors = o.Metrics.GetOrCreateCounter("cassiapin_peer_dial_errors_total")
