Homes of prompts in the region, only for long beginnings

Short beginnings drew many requests to one upstream for a saving of some milliseconds. Change: one home a region; beginnings that are read within 50 ms have none; the saving weighs like pending prefill.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -80,11 +80,11 @@
 		l := t.estimate(u, u.FailureDomain == r.FailureDomain, r.Now)
 		score := l.pace*(fullLoadDelay*slowdown(l.requests/float64(max(u.Slots, 1)), r.Batched)+prefillWeight*l.prefill.Seconds()) +
 			distance(r, u) + failurePenalty*t.state(u, r.Now).rate(r.Now)
-		// What the upstream need not read weighs against the wait there. A prompt that
-		// many requests share is spread over several upstreams once its home is slower
-		// than others by more than that.
+		// What the upstream need not read weighs against the wait there, and like
+		// pending prefill. A prompt that many requests share is spread over several
+		// upstreams once its home is slower than others by more than that.
 		held := t.state(u, r.Now).held(r.Prompt, u == home, r.Now)
-		score -= l.pace * held * r.Prompt.Prefill.Seconds()
+		score -= l.pace * prefillWeight * held * r.Prompt.Prefill.Seconds()
 		if r.Now.Before(t.coldUntil(u)) {
 			score += coldPenalty
 		}
--- a/pkg/placement/prompts.go
+++ b/pkg/placement/prompts.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"cassiapin/pkg/hashing"
@@ -17,10 +16,10 @@
 	sentTTL   = 10 * time.Second
 	// maxSentPrompts bounds what is remembered of one upstream.
 	maxSentPrompts = 64
-	// minHomeUpstreams is the number of upstreams from which on a failure domain
-	// has homes of its own; below, the region has them, so that a prompt's
-	// beginning is not read at too many upstreams.
-	minHomeUpstreams = 8
+	// minHomePrefill is the time to read a beginning from which on it has a home.
+	// Shorter ones are soon kept by all upstreams, and a preferred upstream would
+	// only be crowded.
+	minHomePrefill = 50 * time.Millisecond
 )
 
 // Prompt is the beginning of a request's prompt that other requests share.
@@ -71,35 +70,21 @@
 }
 
 // home returns the preferred upstream for the beginning of a prompt: the first by
-// rendezvous hashing among the eligible ones of the nearest group. That is the node's
-// failure domain if it has many upstreams, else its region, else all.
+// rendezvous hashing among the eligible ones of the node's region, or else of all.
 func (t *Table) home(r Request) *topology.Upstream {
-	if r.Prompt.Key == "" {
+	if r.Prompt.Key == "" || r.Prompt.Prefill < minHomePrefill {
 		return nil
 	}
-	local := 0
-	for _, u := range r.Upstreams {
-		if u.FailureDomain == r.FailureDomain {
-			local++
-		}
-	}
 	var best *topology.Upstream
 	var bestHash uint64
-	nearest := math.MaxInt
 	for _, u := range r.Upstreams {
 		if !t.eligible(r, u) {
 			continue
 		}
-		group := 2
-		switch {
-		case u.FailureDomain == r.FailureDomain && local >= minHomeUpstreams:
-			group = 0
-		case u.Region == r.Region:
-			group = 1
-		}
 		h := hashing.Hash(r.Prompt.Key, u.ID)
-		if best == nil || group < nearest || group == nearest && h > bestHash {
-			best, bestHash, nearest = u, h, group
+		near, bestNear := u.Region == r.Region, best != nil && best.Region == r.Region
+		if best == nil || near && !bestNear || near == bestNear && h > bestHash {
+			best, bestHash = u, h
 		}
 	}
 	return best
