Copy the upstreams from the parent when a large fleet starts

Cause: all nodes of a fleet of 300 list 3,000 upstreams at once, some 300 MB, half of them over one link between two regions (computed). Change: with 100 nodes or more a starting node copies the list, compressed, from its parent in the tree of its failure domain; the roots list the store. After 0.4 of the bound, or without a parent, it lists as before. Result: TestCopyFromParent with 3,000 upstreams, a frozen parent, one without a view, the root, and a small fleet. Not yet run at 300 nodes.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -189,6 +189,11 @@
 	return reply, err
 }
 
+// Joined implements storeview.Peers.
+func (n notices) Joined() (joined, registered int) {
+	return len(n.members.Live()), n.registry.nodeCount()
+}
+
 // QueryParent implements storeview.Peers.
 func (n notices) QueryParent(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
 	parent, ok := parentOf(n.members.Live(), n.msgr.Self())
--- a/pkg/placement/prompts_test.go
+++ b/pkg/placement/prompts_test.go
@@ -22,7 +22,7 @@
 	for _, tc := range []struct {
 		name    string
 		prefill time.Duration
-		open    int // Requests at the upstream that has the beginning.
+		open    int  // Requests at the upstream that has the beginning.
 		want    bool // Sent there.
 	}{
 		{"long beginning, idle", 300 * time.Millisecond, 0, true},
--- /dev/null
+++ b/pkg/storeview/copy.go
@@ -0,0 +1,133 @@
+package storeview
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/peer"
+)
+
+const (
+	// largeFleet is the number of nodes from which on a node that starts copies the
+	// upstreams from its parent. When all nodes of a large fleet start, their lists
+	// would fill the links to the store for many seconds; in a small one, a list is
+	// faster than joining the others.
+	largeFleet = 100
+	// copyShare is the longest time for such a copy, as a fraction of
+	// Options.EffectiveIn; then the store is listed.
+	copyShare = 0.4
+	// joinedShare is the share of the nodes that a node has to know before it asks
+	// the parent that it finds among them.
+	joinedShare = 0.5
+	// joinPoll is the pause between two looks at the members.
+	joinPoll = 50 * time.Millisecond
+	// maxCopyBytes bounds the state of a kind that another node sends.
+	maxCopyBytes = 16 << 20
+)
+
+// copyFromParent copies the upstreams from this node's parent when the node starts in
+// a large fleet. If that fails, the follower lists them.
+func (f *follower) copyFromParent(ctx context.Context) {
+	s := f.service
+	if f.kind != Upstreams || s.opts.Peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(copyShare*float64(s.opts.EffectiveIn[f.kind])))
+	defer cancel()
+	for {
+		joined, registered := s.opts.Peers.Joined()
+		if registered < largeFleet {
+			return
+		}
+		if float64(joined) >= joinedShare*float64(registered) {
+			break
+		}
+		if s.clock.Sleep(ctx, joinPoll) != nil {
+			return
+		}
+	}
+	began := s.pauses.now()
+	r, ok := f.wholeFromParent(ctx)
+	if !ok {
+		return
+	}
+	objects, err := unpackAll(r.Notice.All)
+	if err != nil {
+		s.log.Warn(eventlog.ObjectRefused, "kind", f.kind.String(), "revision", r.Notice.To, "error", err.Error())
+		return
+	}
+	s.replaceAll(f.kind, objects, time.Time{})
+	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
+	f.verified = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	s.confirm(f.kind, began)
+	f.recordLatestProgress()
+}
+
+// wholeFromParent queries the parent until it knows the kind. ok is false at the root
+// of the tree, and when ctx ends.
+func (f *follower) wholeFromParent(ctx context.Context) (r Reply, ok bool) {
+	s := f.service
+	for {
+		r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, All: true, WaitMS: peerQueryTimeout.Milliseconds()})
+		if err == nil {
+			return r, true
+		}
+		if errors.Is(err, ErrNoParent) || s.clock.Sleep(ctx, joinPoll) != nil {
+			return Reply{}, false
+		}
+	}
+}
+
+// whole returns all objects of a kind, if this node knows them.
+func (s *Service) whole(q Query) (Reply, error) {
+	s.mu.Lock()
+	known := s.latestProgress[Upstreams]
+	changes := make([]Change, 0, len(s.upstreams))
+	for _, o := range s.upstreams {
+		changes = append(changes, Change{Object: o})
+	}
+	s.mu.Unlock()
+	if q.Kind != Upstreams || known.verified.IsZero() {
+		return Reply{}, errNothingNewer
+	}
+	all, err := packAll(changes)
+	if err != nil {
+		return Reply{}, err
+	}
+	return Reply{
+		Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from, All: all},
+		AgeMS:  s.clock.Since(known.verified).Milliseconds(),
+	}, nil
+}
+
+// packAll encodes the state of a kind in compressed form.
+func packAll(changes []Change) ([]byte, error) {
+	raw, err := peer.Encode(noticeChanges(changes))
+	if err != nil {
+		return nil, err
+	}
+	return pack(raw), nil
+}
+
+// unpackAll decodes the state of a kind.
+func unpackAll(packed []byte) ([]Object, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxCopyBytes))
+	if err != nil {
+		return nil, err
+	}
+	var n Notice
+	if err := peer.Decode(raw, &n.Changes); err != nil {
+		return nil, err
+	}
+	var objects []Object
+	for _, c := range n.changes() {
+		objects = append(objects, c.Object)
+	}
+	return objects, nil
+}
--- /dev/null
+++ b/pkg/storeview/copy_test.go
@@ -0,0 +1,90 @@
+package storeview
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// poolStore is a store with many upstreams; it counts the lists of them.
+type poolStore struct {
+	*fakeStore
+	upstreams int
+	lists     int
+}
+
+func (p *poolStore) List(ctx context.Context, kind Kind) ([]Object, topology.Revision, error) {
+	if kind != Upstreams {
+		return p.fakeStore.List(ctx, kind)
+	}
+	p.lists++
+	var objects []Object
+	for i := range p.upstreams {
+		spec, _ := json.Marshal(map[string]any{"address": fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), "service": "pool", "state": "ready"})
+		objects = append(objects, Object{Name: fmt.Sprintf("i-%08x", i), Revision: topology.Revision(i + 1), Created: 1, Spec: spec})
+	}
+	return objects, topology.Revision(p.upstreams + 1), nil
+}
+
+func startPool(t *testing.T, store Store, p *hubPeer) *Service {
+	t.Helper()
+	s := New(Options{Store: store, Decoder: fakeDecoder{}, Peers: p, EffectiveIn: map[Kind]time.Duration{Upstreams: effectiveIn}})
+	if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestCopyFromParent answers the start of a large fleet: a node copies the upstreams
+// from its parent, in a fraction of the bytes of a list. In a small fleet, without the
+// parent, or while it knows nothing, the node lists them.
+func TestCopyFromParent(t *testing.T) {
+	const upstreams = 3000
+	for _, tc := range []struct {
+		name   string
+		nodes  int
+		change func(parent *hubPeer, s *Service)
+		copied bool
+	}{
+		{"large fleet", largeFleet, func(*hubPeer, *Service) {}, true},
+		{"small fleet", largeFleet - 1, func(*hubPeer, *Service) {}, false},
+		{"frozen parent", largeFleet, func(child *hubPeer, _ *Service) { child.parentFrozen.Store(true) }, false},
+		{"parent without a view", largeFleet, func(_ *hubPeer, s *Service) { s.latestProgress[Upstreams] = progress{} }, false},
+		{"root of the tree", largeFleet, func(child *hubPeer, _ *Service) { child.parent = nil }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store := &poolStore{fakeStore: newFakeStore(), upstreams: upstreams}
+			h := &hub{}
+			parentPeer, childPeer := h.join(0), h.join(Readers)
+			childPeer.parent, childPeer.nodes = parentPeer, tc.nodes
+			parent, child := startPool(t, store, parentPeer), startPool(t, store, childPeer)
+			root := &follower{service: parent, kind: Upstreams}
+			if err := root.call(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			tc.change(childPeer, parent)
+			f := &follower{service: child, kind: Upstreams}
+			f.copyFromParent(context.Background())
+			if f.listed != tc.copied || store.lists != 1 {
+				t.Fatalf("copied: %t after %d lists, want %t", f.listed, store.lists, tc.copied)
+			}
+			if !tc.copied {
+				return
+			}
+			if f.from != root.from || f.digest() != root.digest() || f.verified.IsZero() {
+				t.Errorf("the copy is at revision %d, want %d, and equal", f.from, root.from)
+			}
+			r, err := parent.whole(Query{Kind: Upstreams, All: true})
+			if err != nil || len(r.Notice.All) > 100*upstreams {
+				t.Errorf("%d bytes for %d upstreams, %v", len(r.Notice.All), upstreams, err)
+			}
+		})
+	}
+}
--- a/pkg/storeview/encoding.go
+++ b/pkg/storeview/encoding.go
@@ -37,18 +37,19 @@
 func packChanges(changes []Change) []NoticeChange {
 	out := noticeChanges(changes)
 	for i := range out {
-		var packed bytes.Buffer
-		w, err := flate.NewWriter(&packed, flate.BestSpeed)
-		if err != nil {
-			continue
-		}
-		_, _ = w.Write(out[i].Spec) // Writes to a bytes.Buffer do not fail.
-		_ = w.Close()
-		out[i].Spec, out[i].Packed = nil, packed.Bytes()
+		out[i].Spec, out[i].Packed = nil, pack(out[i].Spec)
 	}
 	return out
 }
 
+func pack(raw []byte) []byte {
+	var packed bytes.Buffer
+	w, _ := flate.NewWriter(&packed, flate.BestSpeed) // The level is valid.
+	_, _ = w.Write(raw)                               // Writes to a bytes.Buffer do not fail.
+	_ = w.Close()
+	return packed.Bytes()
+}
+
 // expand restores the objects of a notice that are sent as differences or in
 // compressed form. It returns false if the store must be called instead.
 func (f *follower) expand(n *Notice) bool {
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -60,6 +60,7 @@
 func (s *Service) follow(ctx context.Context, kind Kind) {
 	f := &follower{service: s, kind: kind, callTimeout: minCallTimeout}
 	coalesce := time.Duration(coalesceShare * float64(s.opts.EffectiveIn[kind]))
+	f.copyFromParent(ctx)
 	for ctx.Err() == nil {
 		f.consumeNotices(ctx)
 		if f.queryParent(ctx) {
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -27,6 +27,9 @@
 	// outage.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
 
+	// All is the compressed state of the kind at To; Changes is then empty.
+	All []byte `cbor:"9,keyasint,omitempty"`
+
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
 
@@ -89,6 +92,9 @@
 	Publish(n Notice) error
 	// Receive registers the handler of notices.
 	Receive(handle func(n Notice))
+	// Joined returns the number of nodes that this node has joined, and of those that
+	// have an entry in the store, itself included.
+	Joined() (joined, registered int)
 	// Query sends a query to a nearby node.
 	Query(ctx context.Context, q Query) (Reply, error)
 	// QueryParent sends a query to this node's parent in the tree of its failure
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -76,6 +76,8 @@
 	hub   *hub
 	rank  int
 	index int
+	// nodes is the number of nodes that have joined each other.
+	nodes int
 	// settled is the latest time at which a notice of at least settleTime ago
 	// confirmed each kind; hub.mu guards it.
 	settled [Nodes]time.Time
@@ -99,6 +101,8 @@
 
 func (s *hubPeer) Rank() int { return s.rank }
 
+func (s *hubPeer) Joined() (joined, registered int) { return s.nodes, s.nodes }
+
 func (s *hubPeer) Publish(n Notice) error {
 	if s.dropNotices.Load() {
 		return nil
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -14,6 +14,8 @@
 type Query struct {
 	Kind  Kind              `cbor:"1,keyasint"`
 	After topology.Revision `cbor:"2,keyasint"`
+	// All requests the whole state of a kind.
+	All bool `cbor:"4,keyasint,omitempty"`
 	// WaitMS is how long the receiver waits for a later revision if it knows
 	// none yet.
 	WaitMS int64 `cbor:"3,keyasint,omitempty"`
@@ -99,8 +101,12 @@
 // as the query allows.
 func (s *Service) answer(ctx context.Context, q Query) (Reply, error) {
 	until := s.clock.Now().Add(min(time.Duration(q.WaitMS)*time.Millisecond, peerQueryTimeout))
+	newest := s.newest
+	if q.All {
+		newest = s.whole
+	}
 	for {
-		reply, err := s.newest(q)
+		reply, err := newest(q)
 		if err == nil || !s.clock.Now().Before(until) {
 			return reply, err
 		}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -118,6 +118,8 @@
 	// guards all three.
 	storeProgress, latestProgress [Nodes]progress
 	config                        Object
+	// upstreams are the upstreams' objects, for nodes that start. mu guards them.
+	upstreams map[string]Object
 	// digests identify the current state of each kind; nil before the first
 	// list. mu guards them.
 	digests [Nodes]*digest
@@ -133,7 +135,7 @@
 
 // New returns a service with an empty view.
 func New(o Options) *Service {
-	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), backoff: newSharedBackoff()}
+	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), backoff: newSharedBackoff(), upstreams: make(map[string]Object)}
 	s.view.Store(&topology.View{})
 	s.pauses.now, s.pauses.next = o.BootTime, make(chan struct{})
 	if s.pauses.now == nil {
@@ -223,10 +225,19 @@
 	if err != nil {
 		return 0, err
 	}
+	s.replaceAll(kind, objects, appeared)
+	return from, nil
+}
+
+// replaceAll replaces the known objects of a kind.
+func (s *Service) replaceAll(kind Kind, objects []Object, appeared time.Time) {
 	s.lastAnswer[kind].Store(s.clock.Now().UnixNano())
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
 		s.digests[kind] = newDigest(objects)
+		if kind == Upstreams {
+			clear(s.upstreams)
+		}
 		present := make(map[string]bool, len(objects))
 		changed := false
 		for _, o := range objects {
@@ -235,7 +246,6 @@
 		}
 		return s.tracker.Retain(kind, present, now) || changed
 	})
-	return from, nil
 }
 
 // watch reads the changes of a kind after a revision. They occurred at the time
@@ -309,6 +319,11 @@
 }
 
 func (s *Service) applyUpstream(c Change, now time.Time) (bool, error) {
+	if c.Deleted {
+		delete(s.upstreams, c.Object.Name)
+	} else {
+		s.upstreams[c.Object.Name] = c.Object
+	}
 	if c.Deleted {
 		if !s.tracker.DeleteUpstream(c.Object.Name, now) {
 			return false, nil
