--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -318,13 +318,23 @@
 	}
 }
 
+// maxSeries is the largest number of configurations in a series, and seriesPause the
+// pause between two of them.
+const (
+	maxSeries   = 8
+	seriesPause = 60 * time.Millisecond
+)
+
 // changeStore makes a change that operators or runners make in the store, or
 // discards the store's change history.
 func (f *fleet) changeStore(random *rand.Rand) {
 	switch random.Intn(4) {
 	case 0:
-		f.configure()
-		f.event("configuration %d", f.version)
+		for range 1 + random.Intn(maxSeries) {
+			f.configure()
+			f.event("configuration %d", f.version)
+			time.Sleep(seriesPause)
+		}
 	case 1:
 		f.event("z2 is evacuated")
 		f.store.Evacuate("z2", true)
