Forward changes of members only if they are news; pull large floods

Cause: changes of members were 69 MB in four seconds after the restart of 54 of 90 nodes: each node that learns of them floods all it has learned. Change: a flood without news for a node ends there. Messages of 4 KB and more are announced and fetched, so nobody gets two copies.

--- /dev/null
+++ b/pkg/membership/failures_test.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"cassiapin/pkg/peer"
+	"cassiapin/pkg/peer/memnet"
+)
+
+// TestMassFailureCost answers the loss of half of the nodes at once. Several nodes
+// notice each failure and flood it; a node may pass on each of the two changes of a
+// lost node (suspect, dead) to each of its neighbours about once, not once for each
+// node that has noticed it.
+func TestMassFailureCost(t *testing.T) {
+	const (
+		nodes, lost = 64, 32
+		// neighbours is the largest number of neighbours, relays of the other region
+		// included, and recordBytes the size of an update with one record.
+		neighbours, recordBytes = 10, 160
+		// probes is the number of bytes of probes and digests that a node sends in the
+		// time of the test.
+		probes = 64 << 10
+	)
+	f := newFleet(t, memnet.Options{Seed: 3, Delay: 3 * time.Millisecond, Jitter: 2 * time.Millisecond})
+	f.preload(nodes)
+	f.net.Run(3 * time.Second)
+	before := make([]uint64, nodes)
+	for i, n := range f.nodes {
+		before[i] = n.endpoint.Traffic().SentBytes
+	}
+	for _, n := range f.nodes[:lost] {
+		f.kill(n)
+	}
+	took, ok := f.net.RunUntil(20*time.Second, 250*time.Millisecond, func() bool {
+		for _, n := range f.nodes[lost:] {
+			for _, m := range n.All() {
+				gone := false
+				for _, d := range f.nodes[:lost] {
+					gone = gone || m.ID == d.Self().ID
+				}
+				if gone != (m.State == peer.Dead) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if !ok {
+		t.Fatalf("the live nodes do not agree after %s", took)
+	}
+	var total uint64
+	for i, n := range f.nodes[lost:] {
+		total += n.endpoint.Traffic().SentBytes - before[lost+i]
+	}
+	mean := total / lost
+	t.Logf("agreed after %s, %d KB sent by a node on average", took, mean>>10)
+	if most := uint64(lost*2*neighbours*recordBytes + probes); mean > most {
+		t.Errorf("%d KB sent by a node on average, want at most %d", mean>>10, most>>10)
+	}
+}
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -204,6 +204,9 @@
 	s.messenger.Handle(kindAck, peer.LockedHandler(s.withLock, s.onAck))
 	s.messenger.Handle(kindProbeRequest, peer.LockedHandler(s.withLock, s.onProbeRequest))
 	s.messenger.Handle(kindUpdate, peer.LockedHandler(s.withLock, s.onUpdate))
+	if f, ok := s.messenger.(peer.FloodFilterer); ok {
+		f.FilterFlood(kindUpdate, s.isNews)
+	}
 	s.messenger.Handle(kindSync, peer.LockedHandler(s.withLock, s.onSync))
 	s.messenger.Handle(kindJoin, s.onJoin)
 }
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -221,6 +221,34 @@
 	}
 }
 
+// isNews reports whether a flooded update has a change that this node has not flooded
+// or forwarded. When many nodes fail, several others notice each failure and flood it;
+// only the first of these floods has to reach all nodes.
+func (s *Service) isNews(body []byte) bool {
+	var m updateMessage
+	if peer.Decode(body, &m) != nil {
+		return false // The handler reports the error.
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range m.Records {
+		// A queued change has been learned from a digest exchange and not forwarded.
+		if _, queued := s.sync.queued[r.ID]; queued {
+			return true
+		}
+		e := s.table.entries[r.ID]
+		switch {
+		case e == nil || r.Incarnation > e.member.Incarnation:
+			return true
+		case r.Incarnation < e.member.Incarnation || rank(r.State) <= rank(e.member.State):
+		case r.State == peer.Dead && !e.reportedDeadAt.IsZero():
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // onUpdate merges flooded changes, which the router has already forwarded, and
 // drops queued changes that they supersede.
 func (s *Service) onUpdate(now time.Time, _ peer.NodeID, m updateMessage) {
--- a/pkg/peer/lazypush.go
+++ b/pkg/peer/lazypush.go
@@ -28,6 +28,11 @@
 	// lazyBytes is the size from which on messages are announced; smaller ones cost
 	// little more than their announcement.
 	lazyBytes = 384
+	// pullBytes is the size from which on messages are always announced, and fetched
+	// at once. Many nodes flood such messages, few of them often enough for a tree:
+	// after a mass restart, for instance, each node that has learned of the new
+	// members.
+	pullBytes = 4 << 10
 	// fetchDelay is how long a node waits for a message that was announced. It is
 	// several times the way through a fleet, and a small part of the shortest time
 	// in which news must take effect.
@@ -47,6 +52,8 @@
 type floodRef struct {
 	Origin NodeID `cbor:"1,keyasint"`
 	Seq    uint64 `cbor:"2,keyasint,omitempty"`
+	// Now is set in announcements of messages that nobody is sent whole.
+	Now bool `cbor:"3,keyasint,omitempty"`
 }
 
 // edge is a neighbour that wants announcements of an origin's messages.
@@ -65,6 +72,8 @@
 	pruned, prunedBefore map[edge]struct{}
 	kept, keptBefore     map[floodID]keptMessage
 	keptBytes            int
+	// capable are the nodes that have sent a message of lazy pushing.
+	capable map[NodeID]struct{}
 	// missing has the nodes that announced a message which has not arrived.
 	missing map[floodID][]NodeID
 }
@@ -78,21 +87,40 @@
 	return &lazyPush{
 		send: send, after: after, pruned: make(map[edge]struct{}),
 		kept: make(map[floodID]keptMessage), missing: make(map[floodID][]NodeID),
+		capable: make(map[NodeID]struct{}),
 	}
 }
 
 // push sends a flooded message to a neighbour, or announces it.
 func (l *lazyPush) push(to NodeID, id floodID, kind Kind, raw []byte) error {
-	if len(raw) < lazyBytes || !l.wantsAnnouncements(edge{id.origin, to}) {
+	pull := len(raw) >= pullBytes && l.isCapable(to)
+	if len(raw) < lazyBytes || !pull && !l.wantsAnnouncements(edge{id.origin, to}) {
 		return l.send(to, kind, raw)
 	}
-	announcement, err := EncodeMessage(kindAnnounce, floodRef{id.origin, id.seq})
+	announcement, err := EncodeMessage(kindAnnounce, floodRef{id.origin, id.seq, pull})
 	if err != nil {
 		return err
 	}
 	return l.send(to, kindAnnounce, announcement)
 }
 
+func (l *lazyPush) isCapable(node NodeID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.capable[node]
+	return ok
+}
+
+// heardFrom records that a node knows lazy pushing.
+func (l *lazyPush) heardFrom(node NodeID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.capable) >= maxPruned {
+		clear(l.capable) // Nodes of long ago; the others are heard again.
+	}
+	l.capable[node] = struct{}{}
+}
+
 func (l *lazyPush) wantsAnnouncements(e edge) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -101,6 +129,13 @@
 	return now || before
 }
 
+// arrived records that a message need not be fetched any more.
+func (l *lazyPush) arrived(id floodID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.missing, id)
+}
+
 // keep keeps a message for nodes to which it is announced.
 func (l *lazyPush) keep(id floodID, kind Kind, raw []byte) {
 	if len(raw) < lazyBytes {
@@ -108,7 +143,6 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.missing, id)
 	if l.keptBytes += len(raw); l.keptBytes > maxKeptBytes {
 		l.keptBefore, l.kept, l.keptBytes = l.kept, make(map[floodID]keptMessage), len(raw)
 	}
@@ -135,16 +169,22 @@
 	l.pruned[edge{origin, neighbour}] = struct{}{}
 }
 
-// announced records that a node has a message which this one has not.
-func (l *lazyPush) announced(from NodeID, id floodID) {
+// announced records that a node has a message which this one has not. With now set,
+// nobody sends it unasked.
+func (l *lazyPush) announced(from NodeID, id floodID, now bool) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	sources, waiting := l.missing[id]
 	if len(sources) >= maxSources || !waiting && len(l.missing) >= maxMissing {
+		l.mu.Unlock()
 		return
 	}
 	l.missing[id] = append(sources, from)
-	if !waiting {
+	l.mu.Unlock()
+	switch {
+	case waiting:
+	case now:
+		l.fetch(id)
+	default:
 		l.after(fetchDelay, func() { l.fetch(id) })
 	}
 }
@@ -161,7 +201,7 @@
 	}
 	l.missing[id] = sources[1:]
 	l.mu.Unlock()
-	if raw, err := EncodeMessage(kindFetch, floodRef{id.origin, id.seq}); err == nil {
+	if raw, err := EncodeMessage(kindFetch, floodRef{Origin: id.origin, Seq: id.seq}); err == nil {
 		_ = l.send(sources[0], kindFetch, raw) // Another source is asked if this fails.
 	}
 	l.after(fetchDelay, func() { l.fetch(id) })
--- a/pkg/peer/memnet/memnet.go
+++ b/pkg/peer/memnet/memnet.go
@@ -264,6 +264,11 @@
 // Self implements peer.Messenger.
 func (e *Endpoint) Self() peer.NodeID { return e.id }
 
+// FilterFlood implements peer.FloodFilterer.
+func (e *Endpoint) FilterFlood(kind peer.Kind, isNews func(body []byte) bool) {
+	e.router.FilterFlood(kind, isNews)
+}
+
 // Handle implements peer.Messenger.
 func (e *Endpoint) Handle(kind peer.Kind, h peer.Handler) { e.router.Handle(kind, h) }
 
--- a/pkg/peer/router.go
+++ b/pkg/peer/router.go
@@ -30,6 +30,14 @@
 	SetAddressBook(b AddressBook)
 }
 
+// FloodFilterer is implemented by transports that can leave out floods.
+type FloodFilterer interface {
+	// FilterFlood registers a function that reports whether a flooded message has
+	// anything that this node has not passed on before; if not, it is handled but not
+	// forwarded. Several nodes may flood the same news at once.
+	FilterFlood(kind Kind, isNews func(body []byte) bool)
+}
+
 // Caller is implemented by transports with asynchronous requests.
 type Caller interface {
 	// Call sends a request and calls done exactly once, with the encoded body
@@ -147,6 +155,7 @@
 
 	mu       sync.RWMutex
 	handlers map[Kind]Handler
+	isNews   map[Kind]func(body []byte) bool
 	counters map[Kind]*kindMetrics
 	book     AddressBook
 	filter   duplicateFilter
@@ -162,6 +171,7 @@
 	r := &Router{
 		self: self, send: send, set: set,
 		handlers: make(map[Kind]Handler),
+		isNews:   make(map[Kind]func(body []byte) bool),
 		counters: make(map[Kind]*kindMetrics),
 		lazy:     newLazyPush(send, after),
 	}
@@ -176,7 +186,7 @@
 		kindFetch: func(from NodeID, ref floodRef) { r.lazy.fetched(from, floodID{ref.Origin, ref.Seq}) },
 		kindAnnounce: func(from NodeID, ref floodRef) {
 			if id := (floodID{ref.Origin, ref.Seq}); ref.Origin != r.self && !r.seen(id) {
-				r.lazy.announced(from, id)
+				r.lazy.announced(from, id, ref.Now)
 			}
 		},
 	} {
@@ -188,6 +198,7 @@
 			if len(ref.Origin) > maxIDBytes {
 				return nil, result.New(result.BadMessage, "a node id of %d bytes", len(ref.Origin))
 			}
+			r.lazy.heardFrom(from)
 			handle(from, ref)
 			return nil, nil
 		}
@@ -229,6 +240,13 @@
 	r.handlers[kind] = h
 }
 
+// FilterFlood implements FloodFilterer.
+func (r *Router) FilterFlood(kind Kind, isNews func(body []byte) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isNews[kind] = isNews
+}
+
 // EncodeMessage returns the encoded envelope of a message.
 func EncodeMessage(kind Kind, body any) ([]byte, error) {
 	b, err := Encode(body)
@@ -298,6 +316,7 @@
 	}
 	flooded := e.Origin != ""
 	fresh := !flooded || (e.Origin != r.self && r.filter.add(floodID{e.Origin, e.Seq}))
+	isNews := r.isNews[e.Kind]
 	r.mu.Unlock()
 	r.CountReceived(e.Kind, size)
 	if !fresh {
@@ -305,6 +324,9 @@
 		return nil, nil
 	}
 	if flooded {
+		r.lazy.arrived(floodID{e.Origin, e.Seq})
+	}
+	if flooded && (isNews == nil || isNews(e.Body)) {
 		if err := r.forward(e, from); err != nil {
 			return nil, err
 		}
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -277,6 +277,11 @@
 // Handle implements Messenger.
 func (t *Transport) Handle(kind Kind, h Handler) { t.router.Handle(kind, h) }
 
+// FilterFlood implements FloodFilterer.
+func (t *Transport) FilterFlood(kind Kind, isNews func(body []byte) bool) {
+	t.router.FilterFlood(kind, isNews)
+}
+
 // SetAddressBook implements AddressBookSetter.
 func (t *Transport) SetAddressBook(b AddressBook) { t.router.SetAddressBook(b) }
 
