Tests that fail without the filter of floods and with lists for certificates

TestCertificatesCostOneEntryEach registered all hosts before the first handshake, so one list sufficed and the test passed on the old code, too.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -277,18 +277,22 @@
 // certificate: when many nodes start, these lists fill the links to the store.
 func TestCertificatesCostOneEntryEach(t *testing.T) {
 	f := newFleet(t, 1)
-	for i := range 200 {
+	register := func(i int) {
 		f.store.Put("cassiapin-nodes", fmt.Sprintf("other-%d", i), map[string]any{"fingerprint": fmt.Sprint("f", i)})
 	}
+	for i := range 200 {
+		register(100 + i)
+	}
 	r := f.nodes[0].registry
 	lists := f.store.Lists("cassiapin-nodes")
 	for i := range 5 {
+		register(i) // The node starts after the latest list.
 		if host := fmt.Sprintf("other-%d", i); !r.isTrusted(host, fmt.Sprint("f", i)) {
 			t.Errorf("the certificate of %s is not trusted", host)
 		}
 	}
 	// A node without others looks for them from time to time, which is one list.
-	if n, whole := f.store.Lists("cassiapin-nodes")-lists, (200+1)/f.store.PageSize()+1; n > whole {
+	if n, whole := f.store.Lists("cassiapin-nodes")-lists, (200+5+1)/f.store.PageSize(); n > whole {
 		t.Errorf("%d pages of lists for five certificates, want at most %d", n, whole)
 	}
 }
--- a/pkg/membership/failures_test.go
+++ b/pkg/membership/failures_test.go
@@ -59,3 +59,34 @@
 		t.Errorf("%d KB sent by a node on average, want at most %d", mean>>10, most>>10)
 	}
 }
+
+// TestSameNewsIsForwardedOnce answers many nodes that notice the same failure at the
+// same moment: a node passes the news on to each of its neighbours about once, however
+// many floods bring it.
+func TestSameNewsIsForwardedOnce(t *testing.T) {
+	const nodes, neighbours = 64, 10
+	f := newFleet(t, memnet.Options{Seed: 5, Delay: 3 * time.Millisecond, Jitter: 2 * time.Millisecond})
+	f.preload(nodes)
+	f.net.Run(3 * time.Second)
+	gone := f.nodes[0].Self()
+	f.kill(f.nodes[0])
+	sent := func() (messages uint64) {
+		for _, n := range f.nodes[1:] {
+			messages += n.endpoint.Traffic().SentMessages
+		}
+		return messages
+	}
+	before := sent()
+	for _, n := range f.nodes[1:] {
+		n.withLock(func(now time.Time) {
+			suspected := compactRecord(gone)
+			suspected.State = peer.Suspect
+			n.merge(suspected, now)
+			n.flood(suspected)
+		})
+	}
+	f.net.Run(100 * time.Millisecond)
+	if messages, most := sent()-before, uint64(2*nodes*neighbours); messages > most {
+		t.Errorf("%d messages for news that all nodes have, want at most %d", messages, most)
+	}
+}
