--- a/pkg/peer/lazypush_test.go
+++ b/pkg/peer/lazypush_test.go
@@ -176,3 +176,48 @@
 		t.Errorf("%.2f times the bytes of one copy for each node, want at most 2", copies)
 	}
 }
+
+// TestFilterPanics guards against a message that ends the process because the filter
+// of floods fails on it.
+func TestFilterPanics(t *testing.T) {
+	f := newFlooded(4, memnet.Options{Delay: time.Millisecond, Seed: 6})
+	for _, e := range f.nodes {
+		e.FilterFlood(floodKind, func([]byte) bool { panic("unexpected") })
+	}
+	f.flood(t, 0, 0, messageBytes)
+	f.network.Run(time.Second)
+	if n := f.reached(t, 0); n != 3 {
+		t.Errorf("the flood reached %d of 3 nodes", n)
+	}
+}
+
+// TestOddLazyPushMessages guards against a node that fails on messages that no sound
+// node sends, or that keeps asking for what does not exist.
+func TestOddLazyPushMessages(t *testing.T) {
+	f := newFlooded(2, memnet.Options{Delay: time.Millisecond, Seed: 7})
+	type odd struct {
+		Origin string `cbor:"1,keyasint"`
+		Seq    uint64 `cbor:"2,keyasint"`
+		Now    bool   `cbor:"3,keyasint"`
+	}
+	for _, kind := range []peer.Kind{"flood.announce", "flood.fetch", "flood.prune"} {
+		for i := range 3000 {
+			for _, body := range []any{odd{Origin: "nobody", Seq: uint64(i), Now: i%2 == 0}, odd{Origin: strings.Repeat("x", 5000)}, "text", 7} {
+				if err := f.nodes[0].Notify(nodeID(1), kind, body); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		f.network.Run(3 * time.Second)
+	}
+	before := f.sentBytes()
+	f.network.Run(10 * time.Second)
+	if after := f.sentBytes(); after != before {
+		t.Errorf("%d bytes sent for messages that do not exist", after-before)
+	}
+	f.flood(t, 0, 1, messageBytes)
+	f.network.Run(time.Second)
+	if n := f.reached(t, 1); n != 1 {
+		t.Errorf("a flood reached %d of 1 node afterwards", n)
+	}
+}
--- a/pkg/peer/router.go
+++ b/pkg/peer/router.go
@@ -326,7 +326,7 @@
 	if flooded {
 		r.lazy.arrived(floodID{e.Origin, e.Seq})
 	}
-	if flooded && (isNews == nil || isNews(e.Body)) {
+	if flooded && (isNews == nil || checkNews(isNews, e)) {
 		if err := r.forward(e, from); err != nil {
 			return nil, err
 		}
@@ -334,6 +334,18 @@
 	return r.handle(ctx, h, from, e)
 }
 
+// checkNews runs a filter of floods. A message on which it panics is forwarded.
+func checkNews(isNews func(body []byte) bool, e Envelope) (news bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			handlerPanics.Inc()
+			slog.Error("filter of floods panicked", "kind", string(e.Kind), "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			news = true
+		}
+	}()
+	return isNews(e.Body)
+}
+
 // handle runs a handler. A panic ends only the message that caused it.
 func (r *Router) handle(ctx context.Context, h Handler, from NodeID, e Envelope) (reply any, err error) {
 	defer func() {
