Keep the revision when a list of the configuration fails

The next watch asked for a history that the store no longer has, and one more list followed, 5.9 s after the first. Nodes that were alone also listed 1,913 routes each only to learn whether there was a later version. Change: the revision changes with a successful list only. Without an announcement a configuration above 64 KB is watched, which costs nothing if it has not changed. Result: TestFailedListKeepsRevision, TestLargeUnchangedIsNotListed.

--- a/pkg/storeview/current_test.go
+++ b/pkg/storeview/current_test.go
@@ -34,6 +34,43 @@
 	}
 }
 
+// TestFailedListKeepsRevision guards against a node that forgets up to where it knows
+// the configuration when a list fails: it would watch from the start of the history,
+// which the store no longer has, and list once more.
+func TestFailedListKeepsRevision(t *testing.T) {
+	s := startWith(t, &client{fakeStore: newFakeStore()}, (&hub{}).join(Readers))
+	waitFor(t, s, 1, time.Second)
+	failing := &client{fakeStore: newFakeStore()}
+	failing.unavailable.Store(true)
+	s.opts.Store = failing
+	f := &follower{service: s, kind: Configurations, from: 10, changed: 9, pending: 20, listed: true, latency: 1, callTimeout: minCallTimeout}
+	if err := f.call(context.Background()); err == nil {
+		t.Fatal("a call succeeded while the store is away")
+	}
+	if f.from != 10 || !f.listed {
+		t.Errorf("at revision %d after a failed list, want 10", f.from)
+	}
+}
+
+// TestLargeUnchangedIsNotListed guards against nodes that each copy a large
+// configuration only to learn that it has not changed.
+func TestLargeUnchangedIsNotListed(t *testing.T) {
+	s := startWith(t, &client{fakeStore: newFakeStore()}, (&hub{}).join(Readers))
+	for size, want := range map[int]bool{maxListedBytes: true, maxListedBytes + 1: false} {
+		s.mu.Lock()
+		s.config.Spec = make([]byte, size)
+		s.mu.Unlock()
+		stale := &follower{service: s, kind: Configurations, from: 10, listed: true}
+		if got := stale.missesSeveral(); got != want {
+			t.Errorf("%d bytes, nothing announced: listed %t, want %t", size, got, want)
+		}
+		stale.pending = 20
+		if !stale.missesSeveral() {
+			t.Errorf("%d bytes, a later one announced: not listed", size)
+		}
+	}
+}
+
 // TestCurrent guards against denials by a view that may lack changes: one that no
 // answer or notice has confirmed within the bound, or while a later configuration
 // is announced.
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -29,6 +29,9 @@
 	// fraction of EffectiveIn, so that a series of changes does not cost one
 	// call each.
 	coalesceShare = 0.05
+	// maxListedBytes is the size up to which a configuration is listed when it is not
+	// known whether there is a later one.
+	maxListedBytes = 64 << 10
 )
 
 // follower lists and watches one kind.
@@ -95,8 +98,9 @@
 	var changes []Change
 	switch {
 	case !f.listed || f.missesSeveral():
-		if f.from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
-			f.listed, f.latency, f.changed = true, max(s.clock.Since(start), 1), f.from
+		var from topology.Revision
+		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
+			f.from, f.listed, f.latency, f.changed = from, true, max(s.clock.Since(start), 1), from
 		}
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
@@ -135,7 +139,13 @@
 	if f.kind != Configurations || rank == 0 {
 		return false
 	}
-	return f.pending > f.from || rank >= Readers && f.failedSince.IsZero() && f.freshFor() <= 0
+	if f.pending > f.from {
+		return true
+	}
+	// Nothing was announced, so the configuration may be unchanged, which a watch
+	// tells without sending it.
+	small := len(f.service.currentConfig().Spec) <= maxListedBytes
+	return small && rank >= Readers && f.failedSince.IsZero() && f.freshFor() <= 0
 }
 
 // maxAppearedLead bounds how far back changedBetween estimates: a node that was
