Compress the changes in notices, and let earlier releases fetch them

Cause: a notice with a difference was marked as complete. A node of an earlier release would have taken it for one without changes and would never have got the configuration, since its revision and digest then agree. Change: changes travel compressed in a field of their own, and the notice is not marked as complete; replies are compressed only on request. The bytes were not measured.

--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -1,16 +1,12 @@
 package storeview
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cassiapin/pkg/eventlog"
-	"cassiapin/pkg/peer"
 )
 
 const (
@@ -27,8 +23,6 @@
 	joinedShare = 0.5
 	// joinPoll is the pause between two looks at the members.
 	joinPoll = 50 * time.Millisecond
-	// maxCopyBytes bounds the state of a kind that another node sends.
-	maxCopyBytes = 16 << 20
 )
 
 // copyFromParent copies the upstreams from this node's parent when the node starts in
@@ -57,11 +51,15 @@
 	if !ok {
 		return
 	}
-	objects, err := unpackAll(r.Notice.All)
+	changes, err := unpackChanges(r.Notice.Packed)
 	if err != nil {
 		s.log.Warn(eventlog.ObjectRefused, "kind", f.kind.String(), "revision", r.Notice.To, "error", err.Error())
 		return
 	}
+	var objects []Object
+	for _, c := range (&Notice{Changes: changes}).changes() {
+		objects = append(objects, c.Object)
+	}
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
 	f.verified = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
@@ -96,38 +94,12 @@
 	if q.Kind != Upstreams || known.verified.IsZero() {
 		return Reply{}, errNothingNewer
 	}
-	all, err := packAll(changes)
+	packed, err := packChanges(noticeChanges(changes))
 	if err != nil {
 		return Reply{}, err
 	}
 	return Reply{
-		Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from, All: all},
+		Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from, Packed: packed},
 		AgeMS:  s.clock.Since(known.verified).Milliseconds(),
 	}, nil
 }
-
-// packAll encodes the state of a kind in compressed form.
-func packAll(changes []Change) ([]byte, error) {
-	raw, err := peer.Encode(noticeChanges(changes))
-	if err != nil {
-		return nil, err
-	}
-	return pack(raw), nil
-}
-
-// unpackAll decodes the state of a kind.
-func unpackAll(packed []byte) ([]Object, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxCopyBytes))
-	if err != nil {
-		return nil, err
-	}
-	var n Notice
-	if err := peer.Decode(raw, &n.Changes); err != nil {
-		return nil, err
-	}
-	var objects []Object
-	for _, c := range n.changes() {
-		objects = append(objects, c.Object)
-	}
-	return objects, nil
-}
--- a/pkg/storeview/encoding.go
+++ b/pkg/storeview/encoding.go
@@ -5,17 +5,18 @@
 	"compress/flate"
 	"io"
 
-	"github.com/cockroachdb/errors"
-
 	"cassiapin/pkg/delta"
 	"cassiapin/pkg/eventlog"
+	"cassiapin/pkg/peer"
 )
 
-// maxSpecBytes bounds an object that another node sends; the store's objects have
-// 1 MB at most.
-const maxSpecBytes = 1 << 20
-
-var errSpecTooLarge = errors.New("the object is larger than any of the store")
+const (
+	// maxSpecBytes bounds an object that another node sends; the store's objects have
+	// 1 MB at most.
+	maxSpecBytes = 1 << 20
+	// maxUnpackedBytes bounds the changes that another node sends in compressed form.
+	maxUnpackedBytes = 4 << 20
+)
 
 // patchChanges encodes the changes of a configuration as one difference from base,
 // the object before them. It returns nil if that is not possible: the receivers
@@ -33,25 +34,41 @@
 	return out
 }
 
-// packChanges encodes changes with compressed objects.
-func packChanges(changes []Change) []NoticeChange {
-	out := noticeChanges(changes)
-	for i := range out {
-		out[i].Spec, out[i].Packed = nil, pack(out[i].Spec)
+// packChanges encodes changes in compressed form.
+func packChanges(changes []NoticeChange) ([]byte, error) {
+	raw, err := peer.Encode(changes)
+	if err != nil {
+		return nil, err
 	}
-	return out
-}
-
-func pack(raw []byte) []byte {
 	var packed bytes.Buffer
 	w, _ := flate.NewWriter(&packed, flate.BestSpeed) // The level is valid.
 	_, _ = w.Write(raw)                               // Writes to a bytes.Buffer do not fail.
 	_ = w.Close()
-	return packed.Bytes()
+	return packed.Bytes(), nil
+}
+
+// unpackChanges decodes the result of packChanges.
+func unpackChanges(packed []byte) (changes []NoticeChange, err error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes))
+	if err != nil {
+		return nil, err
+	}
+	return changes, peer.Decode(raw, &changes)
+}
+
+// unpack restores Changes and Complete of a notice with Packed. A malformed one counts
+// as without changes, so they are fetched.
+func (n *Notice) unpack() {
+	if len(n.Packed) == 0 {
+		return
+	}
+	if changes, err := unpackChanges(n.Packed); err == nil {
+		n.Changes, n.Complete = changes, true
+	}
 }
 
-// expand restores the objects of a notice that are sent as differences or in
-// compressed form. It returns false if the store must be called instead.
+// expand restores the objects of a notice that are sent as differences. It returns
+// false if the store must be called instead.
 func (f *follower) expand(n *Notice) bool {
 	s := f.service
 	base := s.currentConfig()
@@ -63,8 +80,6 @@
 			return false // This node has another configuration than the sender had.
 		case len(c.Patch) > 0:
 			c.Spec, err = delta.Apply(base.Spec, c.Patch, maxSpecBytes)
-		case len(c.Packed) > 0:
-			c.Spec, err = unpack(c.Packed)
 		}
 		if err != nil {
 			s.log.Warn(eventlog.ObjectRefused, "kind", f.kind.String(), "object", c.Name, "revision", c.Revision, "error", err.Error())
@@ -74,14 +89,6 @@
 	return true
 }
 
-func unpack(packed []byte) ([]byte, error) {
-	spec, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxSpecBytes+1))
-	if err == nil && len(spec) > maxSpecBytes {
-		err = errSpecTooLarge
-	}
-	return spec, err
-}
-
 // currentConfig returns the object of the configuration in force.
 func (s *Service) currentConfig() Object {
 	s.mu.Lock()
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -27,8 +27,10 @@
 	// outage.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
 
-	// All is the compressed state of the kind at To; Changes is then empty.
-	All []byte `cbor:"9,keyasint,omitempty"`
+	// Packed replaces Changes by a compressed form that has everything between From
+	// and To, or the whole state in the reply to Query.All. Complete is not set then:
+	// nodes of earlier releases take the notice for one without changes.
+	Packed []byte `cbor:"9,keyasint,omitempty"`
 
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
@@ -74,11 +76,9 @@
 	Deleted  bool              `cbor:"5,keyasint,omitempty"`
 	Spec     []byte            `cbor:"6,keyasint,omitempty"`
 	Status   []byte            `cbor:"7,keyasint,omitempty"`
-	// Patch replaces Spec: its difference from that of the object's revision Base.
+	// Patch replaces Spec: the difference from that of the object's revision Base.
 	Patch []byte            `cbor:"8,keyasint,omitempty"`
 	Base  topology.Revision `cbor:"9,keyasint,omitempty"`
-	// Packed replaces Spec: its compressed form.
-	Packed []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Peers are the other nodes.
@@ -143,18 +143,12 @@
 		return
 	}
 	n := Notice{Kind: f.kind, From: before, To: f.from, GraceMS: s.graceLeft().Milliseconds()}
-	var encoded []NoticeChange
+	encoded := noticeChanges(changes)
 	if f.kind == Configurations {
 		encoded = patchChanges(base, changes)
-	} else {
-		encoded = noticeChanges(changes)
 	}
-	size := 0
-	for _, c := range encoded {
-		size += len(c.Spec) + len(c.Status) + len(c.Patch)
-	}
-	if len(encoded) > 0 && size <= noticeBytes {
-		n.Complete, n.Changes = true, encoded
+	if packed, err := packChanges(encoded); err == nil && len(encoded) > 0 && len(packed) <= noticeBytes {
+		n.Packed = packed
 	}
 	s.send(n)
 }
@@ -326,6 +320,7 @@
 // applyNotice applies a notice. It returns false when the store must be called.
 func (f *follower) applyNotice(n Notice) bool {
 	s := f.service
+	n.unpack()
 	switch {
 	case n.To < f.from:
 		return true // From a reader that lags; it has nothing new.
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -16,6 +16,8 @@
 	After topology.Revision `cbor:"2,keyasint"`
 	// All requests the whole state of a kind.
 	All bool `cbor:"4,keyasint,omitempty"`
+	// Packed is set by nodes that know Notice.Packed.
+	Packed bool `cbor:"5,keyasint,omitempty"`
 	// WaitMS is how long the receiver waits for a later revision if it knows
 	// none yet.
 	WaitMS int64 `cbor:"3,keyasint,omitempty"`
@@ -57,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(parentTimeoutShare*limit))
 	defer cancel()
 	wait := time.Duration(parentWaitShare * limit)
-	r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, After: f.from, WaitMS: wait.Milliseconds()})
+	r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, After: f.from, Packed: true, WaitMS: wait.Milliseconds()})
 	if err != nil {
 		if !errors.Is(err, ErrNoParent) {
 			s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
@@ -83,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
-	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, After: f.from})
+	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, After: f.from, Packed: true})
 	if err != nil {
 		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
 		return false
@@ -125,10 +127,12 @@
 	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 {
 		return Reply{}, errNothingNewer
 	}
-	return Reply{
-		Notice: Notice{
-			Kind: Configurations, From: q.After, To: known.from, Complete: true, Changes: packChanges([]Change{{Object: s.config}}),
-		},
-		AgeMS: s.clock.Since(known.verified).Milliseconds(),
-	}, nil
+	n := Notice{Kind: Configurations, From: q.After, To: known.from}
+	changes := noticeChanges([]Change{{Object: s.config}})
+	if packed, err := packChanges(changes); q.Packed && err == nil {
+		n.Packed = packed
+	} else {
+		n.Changes, n.Complete = changes, true
+	}
+	return Reply{Notice: n, AgeMS: s.clock.Since(known.verified).Milliseconds()}, nil
 }
