Copy upstreams in parts; split the score of an upstream

Cause: the copy for a starting node was one message before its compression, above the bound of messages between nodes from some 2,700 upstreams on, so the node waited in vain and listed them. TestCopyFromParent had entries of 70 bytes; with 400 it failed. Change: lists of 256 changes. The choice of an upstream is split into choice and score.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -47,7 +47,6 @@
 	outsideSubset = 0.2
 	// failurePenalty is added at a failure rate of 1.
 	failurePenalty = 3.0
-	// outsideSubset is added for an upstream that other nodes use.
 	// coldPenalty is added while an upstream is cold.
 	coldPenalty = 0.3
 	// jitter is the largest random addition; it spreads the choices of nodes
@@ -77,20 +76,7 @@
 		if !t.eligible(r, u) {
 			continue
 		}
-		l := t.estimate(u, u.FailureDomain == r.FailureDomain, r.Now)
-		score := l.pace*(fullLoadDelay*slowdown(l.requests/float64(max(u.Slots, 1)), r.Batched)+prefillWeight*l.prefill.Seconds()) +
-			distance(r, u) + failurePenalty*t.state(u, r.Now).rate(r.Now)
-		// What the upstream need not read weighs against the wait there, and like
-		// pending prefill. A prompt that many requests share is spread over several
-		// upstreams once its home is slower than others by more than that.
-		held := t.state(u, r.Now).held(r.Prompt, u == home, r.Now)
-		score -= l.pace * prefillWeight * held * r.Prompt.Prefill.Seconds()
-		if r.Now.Before(t.coldUntil(u)) {
-			score += coldPenalty
-		}
-		if r.Preferred != nil && u != home && !r.Preferred(u) {
-			score += outsideSubset
-		}
+		score, l, held := t.score(r, u, home)
 		score += jitter * jitterFraction(random, i)
 		if score < bestScore {
 			bestScore, ok = score, true
@@ -100,6 +86,27 @@
 	return best, ok
 }
 
+// score returns the expected delay of the request at an upstream in seconds, with the
+// load there and the probability that it still has the beginning of the prompt.
+func (t *Table) score(r Request, u, home *topology.Upstream) (score float64, l load, held float64) {
+	s := t.state(u, r.Now)
+	l = t.estimate(u, u.FailureDomain == r.FailureDomain, r.Now)
+	held = s.held(r.Prompt, u == home, r.Now)
+	// What the upstream need not read weighs against the wait there, and like pending
+	// prefill. A prompt that many requests share is spread over several upstreams once
+	// its home is slower than others by more than that.
+	prefill := l.prefill.Seconds() - held*r.Prompt.Prefill.Seconds()
+	queue := fullLoadDelay * slowdown(l.requests/float64(max(u.Slots, 1)), r.Batched)
+	score = l.pace*(queue+prefillWeight*prefill) + distance(r, u) + failurePenalty*s.rate(r.Now)
+	if r.Now.Before(t.coldUntil(u)) {
+		score += coldPenalty
+	}
+	if r.Preferred != nil && u != home && !r.Preferred(u) {
+		score += outsideSubset
+	}
+	return score, l, held
+}
+
 func (t *Table) eligible(r Request, u *topology.Upstream) bool {
 	if r.Tried[u.Incarnation()] || !r.Usable(u, t.coldUntil(u)) {
 		return false
--- a/pkg/storeview/copy_test.go
+++ b/pkg/storeview/copy_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,7 +28,10 @@
 	p.lists++
 	var objects []Object
 	for i := range p.upstreams {
-		spec, _ := json.Marshal(map[string]any{"address": fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), "service": "pool", "state": "ready"})
+		spec, _ := json.Marshal(map[string]any{
+			"address": fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), "service": "pool", "state": "ready",
+			"models": strings.Repeat(`{"name":"large","version":1}`, 12),
+		})
 		objects = append(objects, Object{Name: fmt.Sprintf("i-%08x", i), Revision: topology.Revision(i + 1), Created: 1, Spec: spec})
 	}
 	return objects, topology.Revision(p.upstreams + 1), nil
@@ -88,3 +92,22 @@
 		})
 	}
 }
+
+// FuzzUnpackChanges decodes arbitrary compressed changes: no panic, whatever they say
+// of their length.
+func FuzzUnpackChanges(f *testing.F) {
+	packed, err := packChanges([]NoticeChange{{Name: "main", Revision: 3, Spec: []byte("{}")}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		changes, err := unpackChanges(packed)
+		if err != nil {
+			return
+		}
+		if _, err := packChanges(changes); err != nil {
+			t.Errorf("%d decoded changes cannot be encoded: %v", len(changes), err)
+		}
+	})
+}
--- a/pkg/storeview/encoding.go
+++ b/pkg/storeview/encoding.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
 
 	"cassiapin/pkg/delta"
 	"cassiapin/pkg/eventlog"
@@ -15,7 +19,9 @@
 	// 1 MB at most.
 	maxSpecBytes = 1 << 20
 	// maxUnpackedBytes bounds the changes that another node sends in compressed form.
-	maxUnpackedBytes = 4 << 20
+	maxUnpackedBytes = 8 << 20
+	// packedListLength is the number of changes that are encoded together.
+	packedListLength = 256
 )
 
 // patchChanges encodes the changes of a configuration as one difference from base,
@@ -34,15 +40,19 @@
 	return out
 }
 
-// packChanges encodes changes in compressed form.
+// packChanges encodes changes in compressed form: lists of packedListLength changes,
+// each behind its length, since messages between nodes are bounded.
 func packChanges(changes []NoticeChange) ([]byte, error) {
-	raw, err := peer.Encode(changes)
-	if err != nil {
-		return nil, err
-	}
 	var packed bytes.Buffer
 	w, _ := flate.NewWriter(&packed, flate.BestSpeed) // The level is valid.
-	_, _ = w.Write(raw)                               // Writes to a bytes.Buffer do not fail.
+	for list := range slices.Chunk(changes, packedListLength) {
+		raw, err := peer.Encode(list)
+		if err != nil {
+			return nil, err
+		}
+		_, _ = w.Write(binary.BigEndian.AppendUint32(nil, uint32(len(raw)))) // Writes to a bytes.Buffer do not fail.
+		_, _ = w.Write(raw)
+	}
 	_ = w.Close()
 	return packed.Bytes(), nil
 }
@@ -50,10 +60,28 @@
 // unpackChanges decodes the result of packChanges.
 func unpackChanges(packed []byte) (changes []NoticeChange, err error) {
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes))
-	if err != nil {
-		return nil, err
+	for err == nil && len(raw) > 0 {
+		var list []NoticeChange
+		if raw, err = decodeList(raw, &list); err == nil {
+			changes = append(changes, list...)
+		}
+	}
+	return changes, err
+}
+
+var errListCut = errors.New("a list of changes is cut off")
+
+// decodeList decodes the first list and returns the bytes behind it.
+func decodeList(raw []byte, list *[]NoticeChange) (rest []byte, err error) {
+	const prefix = 4
+	if len(raw) < prefix {
+		return nil, errListCut
+	}
+	length, rest := binary.BigEndian.Uint32(raw), raw[prefix:]
+	if uint64(length) > uint64(len(rest)) {
+		return nil, errListCut
 	}
-	return changes, peer.Decode(raw, &changes)
+	return rest[length:], peer.Decode(rest[:length], list)
 }
 
 // unpack restores Changes and Complete of a notice with Packed. A malformed one counts
