--- a/pkg/storeview/encoding.go
+++ b/pkg/storeview/encoding.go
@@ -100,6 +100,7 @@
 func (f *follower) expand(n *Notice) bool {
 	s := f.service
 	base := s.currentConfig()
+	n.Changes = slices.Clone(n.Changes)
 	for i := range n.Changes {
 		c := &n.Changes[i]
 		var err error
