Forward a change of a member unless this node has passed it on

The filter of floods took a change that a node had learned from a join or a digest as old, so it ended at nodes that had told nobody.

--- a/pkg/membership/failures_test.go
+++ b/pkg/membership/failures_test.go
@@ -90,3 +90,28 @@
 		t.Errorf("%d messages for news that all nodes have, want at most %d", messages, most)
 	}
 }
+
+// TestLearnedOtherwiseIsForwarded guards against a change that ends at a node which has
+// learned it in another way, from a join for instance, and has told nobody.
+func TestLearnedOtherwiseIsForwarded(t *testing.T) {
+	f := newFleet(t, memnet.Options{Seed: 6, Delay: 3 * time.Millisecond})
+	f.preload(8)
+	f.net.Run(3 * time.Second)
+	n := f.nodes[0]
+	joined := testMember(20)
+	body, err := peer.Encode(updateMessage{Records: []record{fullRecord(joined)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.withLock(func(now time.Time) { n.merge(fullRecord(joined), now) })
+	if !n.isNews(body) {
+		t.Error("a change that this node has learned and not passed on is not forwarded")
+	}
+	if n.isNews(body) {
+		t.Error("a change is forwarded twice")
+	}
+	f.net.Run(passedOnTTL + time.Second)
+	if !n.isNews(body) {
+		t.Error("a change that is flooded again later is not forwarded")
+	}
+}
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -134,6 +134,9 @@
 	probes  prober
 	reach   reachability
 	sync    syncer
+	// passedOn has the latest change of each member that this node has flooded or
+	// forwarded.
+	passedOn map[peer.NodeID]change
 	// pendingSends are called after mu is released, because the transport calls
 	// Neighbours of this service.
 	pendingSends []func()
@@ -163,6 +166,7 @@
 		table:      newTable(),
 		probes:     newProber(),
 		piggybacks: make(map[string]Piggyback),
+		passedOn:   make(map[peer.NodeID]change),
 	}
 }
 
@@ -256,6 +260,7 @@
 }
 
 func (s *Service) flood(records ...record) {
+	s.notePassedOn(records)
 	s.pendingSends = append(s.pendingSends, func() { _ = s.messenger.Flood(kindUpdate, updateMessage{Records: records}) })
 }
 
