--- a/pkg/storeview/current_test.go
+++ b/pkg/storeview/current_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/topology"
 )
 
@@ -39,11 +42,15 @@
 // the configuration when a list fails: it would watch from the start of the history,
 // which the store no longer has, and list once more.
 func TestFailedListKeepsRevision(t *testing.T) {
-	s := startWith(t, &client{fakeStore: newFakeStore()}, (&hub{}).join(Readers))
-	waitFor(t, s, 1, time.Second)
 	failing := &client{fakeStore: newFakeStore()}
 	failing.unavailable.Store(true)
-	s.opts.Store = failing
+	s := New(Options{
+		Store: failing, Decoder: fakeDecoder{}, Peers: (&hub{}).join(Readers),
+		EffectiveIn: map[Kind]time.Duration{Configurations: effectiveIn},
+	})
+	if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+		t.Fatal(err)
+	}
 	f := &follower{service: s, kind: Configurations, from: 10, changed: 9, pending: 20, listed: true, latency: 1, callTimeout: minCallTimeout}
 	if err := f.call(context.Background()); err == nil {
 		t.Fatal("a call succeeded while the store is away")
