Trust nodes of earlier releases, whose certificates name no host

Cause: found on reading the diff: after the change of the handshake a node of an earlier release would have been refused by a fleet of this one, so a release could not be taken back node by node. Change: if the named host has no entry, all are listed as before. Result: TestUnknownCertificate with such a certificate.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -271,6 +271,10 @@
 	if !r.isTrusted(host, fingerprint) || r.nodeCount() != 2 {
 		t.Errorf("the other node is not trusted, %d known", r.nodeCount())
 	}
+	f.store.Put("cassiapin-nodes", "front-8", map[string]any{"fingerprint": "4567"})
+	if !r.isTrusted("cassiapin node", "4567") {
+		t.Error("a registered node of an earlier release, whose certificate names no host, is not trusted")
+	}
 }
 
 // TestCertificatesCostOneEntryEach guards against a list of all nodes for each new
--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -15,6 +15,7 @@
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
+	"cassiapin/pkg/result"
 	"cassiapin/pkg/storeview"
 	"cassiapin/pkg/topology"
 )
@@ -144,27 +145,36 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	known := r.registered(ctx, host, fingerprint)
+	known, found := r.registered(ctx, host, fingerprint)
+	if !found {
+		// Certificates of earlier releases do not name their host.
+		r.refresh(ctx, arrived)
+		known = r.has(fingerprint)
+	}
 	if !known {
 		r.log.Warn(eventlog.PeerRefused, "host", host, "fingerprint", fingerprint, "known", r.nodeCount())
 	}
 	return known
 }
 
-// registered reports whether a host's entry in the store has the fingerprint.
-func (r *registry) registered(ctx context.Context, host, fingerprint string) bool {
+// registered reports whether a host's entry in the store has the fingerprint. found is
+// false if the host has none.
+func (r *registry) registered(ctx context.Context, host, fingerprint string) (known, found bool) {
 	if host == "" {
-		return false
+		return false, false
 	}
 	object, err := r.store.Get(ctx, storeview.Nodes, host)
+	if err != nil {
+		return false, result.CodeOf(err) != result.ObjectNotFound
+	}
 	var e entry
-	if err != nil || json.Unmarshal(object.Spec, &e) != nil || e.Fingerprint != fingerprint {
-		return false
+	if json.Unmarshal(object.Spec, &e) != nil || e.Fingerprint != fingerprint {
+		return false, true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.trusted[fingerprint] = true
-	return true
+	return true, true
 }
 
 func (r *registry) has(fingerprint string) bool {
