--- /dev/null
+++ b/review/standin2/main.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held = iota
+	broken
+	couldNotRun
+)
+
+func main() { os.Exit(run()) }
+
+// run plays the case named by the first argument; the second is the folder for
+// record.txt. TROUBLE=0 leaves the disruption out.
+func run() int {
+	if len(os.Args) < 3 {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
+		return couldNotRun
+	}
+	name, out := os.Args[1], os.Args[2]
+	trouble := os.Getenv("TROUBLE") != "0"
+	play, known := map[string]func(*fleet, bool) bool{
+		"lost-5": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 5) },
+		"lost-6": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 6) },
+		"lost-7": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 7) },
+	}[name]
+	if !known {
+		fmt.Fprintln(os.Stderr, "unknown case", name)
+		return couldNotRun
+	}
+	folder, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotRun
+	}
+	if os.Getenv("KEEP") == "" {
+		defer os.RemoveAll(folder)
+	} else {
+		fmt.Println(folder)
+	}
+	f, err := newFleet(folder, filepath.Join(out, "record.txt"), vaxmynd())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotRun
+	}
+	defer f.stop()
+	f.note("case %s, trouble %v, %d machines", name, trouble, len(f.machines))
+	if !f.awaitReady(20 * time.Second) {
+		f.note("the machines do not become ready")
+		return couldNotRun
+	}
+	f.note("all machines are ready")
+	if !play(f, trouble) {
+		f.note("broken")
+		return broken
+	}
+	f.note("held")
+	return held
+}
