--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,9 +26,10 @@
 	name, out := os.Args[1], os.Args[2]
 	trouble := os.Getenv("TROUBLE") != "0"
 	play, known := map[string]func(*fleet, bool) bool{
-		"lost-5": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 5) },
-		"lost-6": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 6) },
-		"lost-7": func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 7) },
+		"lost-5":               func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 5) },
+		"lost-6":               func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 6) },
+		"lost-7":               func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 7) },
+		"silent-store-at-stop": silentStoreAtStop,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -49,6 +49,39 @@
 	objects  map[string]map[string]object // By kind and name.
 	events   []event
 	changed  chan struct{}
+	// silent is closed at the end of a silence; nil is none.
+	silent chan struct{}
+}
+
+// silence makes the store answer nothing until the returned function is called.
+func (s *store) silence() (end func()) {
+	until := make(chan struct{})
+	s.mu.Lock()
+	s.silent = until
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		s.silent = nil
+		s.mu.Unlock()
+		close(until)
+	}
+}
+
+// awaitVoice returns once the store is not silent. A call whose client has left by
+// then is not executed.
+func (s *store) awaitVoice(r *http.Request) bool {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent == nil {
+		return true
+	}
+	select {
+	case <-silent:
+		return r.Context().Err() == nil
+	case <-r.Context().Done():
+		return false
+	}
 }
 
 func newStore(ip string) (*store, error) {
@@ -125,6 +158,9 @@
 		}
 	}
 	q := r.URL.Query()
+	if !s.awaitVoice(r) {
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && q.Has("watch"):
 		s.watch(w, r, kind)
@@ -198,6 +234,9 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if !s.awaitVoice(r) {
+			return
+		}
 		if len(events) > 0 || !waiting {
 			respond(w, http.StatusOK, map[string]any{"events": events, "store-revision": revision})
 			return
