--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 		"lost-6":               func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 6) },
 		"lost-7":               func(f *fleet, trouble bool) bool { return lostMachines(f, trouble, 7) },
 		"silent-store-at-stop": silentStoreAtStop,
+		"many-headers":         manyHeaders,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -45,7 +46,11 @@
 	} else {
 		fmt.Println(folder)
 	}
-	f, err := newFleet(folder, filepath.Join(out, "record.txt"), vaxmynd())
+	places := vaxmynd()
+	if name == "many-headers" {
+		places = places[:3] // One machine in each zone.
+	}
+	f, err := newFleet(folder, filepath.Join(out, "record.txt"), places)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotRun
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +14,13 @@
 // runnerHeartbeat is the period at which a runner writes its entry.
 const runnerHeartbeat = 1200 * time.Millisecond
 
+// Requests below streamPrefix are answered with a stream of events.
+const (
+	streamPrefix = "/rota/"
+	streamEvents = 6
+	streamGap    = 300 * time.Millisecond
+)
+
 // runner is a runner of a service. It runs each request for the time of its path.
 type runner struct {
 	fleet       *fleet
@@ -122,6 +130,18 @@
 		return
 	}
 	n.fleet.write("%s answers %s with %d", n.id, id, status)
+	if strings.HasPrefix(r.URL.Path, streamPrefix) && status == http.StatusOK {
+		w.Header().Set("Response-Stamp", "st."+id)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= streamEvents; i++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			time.Sleep(streamGap)
+		}
+		return
+	}
 	answer := fmt.Sprintf("%s ran %s with %d bytes", n.id, id, len(body))
 	w.Header().Set("Response-Stamp", "st."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
