--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -99,11 +100,25 @@
 	raw, _ := json.Marshal(spec)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.objects[kind][name]
+	o, known := s.objects[kind][name]
+	if known && bytes.Equal(withoutSequence(o.Spec), withoutSequence(raw)) {
+		return // A write that changes nothing else makes no event.
+	}
 	o.Spec = raw
 	s.write(kind, name, o)
 }
 
+// withoutSequence returns an entry without the field that each heartbeat changes.
+func withoutSequence(raw []byte) []byte {
+	var entry map[string]any
+	if json.Unmarshal(raw, &entry) != nil {
+		return raw
+	}
+	delete(entry, "sequence")
+	out, _ := json.Marshal(entry)
+	return out
+}
+
 // remove deletes an object.
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
@@ -189,6 +204,8 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 	case r.Method == http.MethodGet:
 		respond(w, http.StatusOK, o)
+	case r.Method == http.MethodPut && (status && bytes.Equal(o.Status, body.Status) || !status && bytes.Equal(o.Spec, body.Spec)):
+		respond(w, http.StatusOK, o) // A PUT that changes nothing makes no event.
 	case r.Method == http.MethodPut && status:
 		o.Status = body.Status
 		respond(w, http.StatusOK, s.write(kind, base, o))
