--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -34,6 +34,7 @@
 		"lost-7":               func(f *fleet, trouble bool) (bool, error) { return lostMachines(f, trouble, 7) },
 		"silent-store-at-stop": silentStoreAtStop,
 		"many-headers":         manyHeaders,
+		"large-entries":        largeEntries,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -32,10 +32,14 @@
 	// work returns how long a request runs.
 	work func(r *http.Request) time.Duration
 
+	server *http.Server
+
 	mu       sync.Mutex
 	sequence int
 	state    string
-	running  int
+	// ended is set once the runner has left.
+	ended   bool
+	running int
 	// runs are the runs of all requests, by id.
 	runs map[string][]*runRecord
 }
@@ -56,7 +60,8 @@
 		fleet: f, id: id, service: service, address: l.Addr().String(), at: at, slots: slots, work: work,
 		born: time.Now().UnixMilli(), state: "ready", runs: map[string][]*runRecord{},
 	}
-	go func() { _ = http.Serve(l, n) }()
+	n.server = &http.Server{Handler: n}
+	go func() { _ = n.server.Serve(l) }()
 	n.beat()
 	go func() {
 		for range time.Tick(runnerHeartbeat) {
@@ -69,6 +74,10 @@
 // beat writes the runner's entry.
 func (n *runner) beat() {
 	n.mu.Lock()
+	if n.ended {
+		n.mu.Unlock()
+		return
+	}
 	n.sequence++
 	entry := map[string]any{
 		"service": n.service, "address": n.address, "zone": n.at.zone, "version": "v1", "slots": n.slots,
@@ -78,6 +87,23 @@
 	n.fleet.store.put("servers", n.id, entry)
 }
 
+// drain reports that the runner leaves. It returns once the store has accepted that.
+func (n *runner) drain() {
+	n.mu.Lock()
+	n.state = "draining"
+	n.mu.Unlock()
+	n.beat()
+}
+
+// end ends the runner's process and removes its entry.
+func (n *runner) end() {
+	n.mu.Lock()
+	n.ended = true
+	n.mu.Unlock()
+	_ = n.server.Close()
+	n.fleet.store.remove("servers", n.id)
+}
+
 func (n *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" || r.URL.Path == "/-/report" {
 		w.Header().Set("Instance-Id", n.id)
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -18,6 +18,9 @@
 // storePage is the number of objects in one page of a list.
 const storePage = 50
 
+// pageBytes is the size of the objects in one page.
+const pageBytes = 1 << 20
+
 type metadata struct {
 	Name       string   `json:"name"`
 	Revision   int      `json:"revision"`
@@ -38,10 +41,11 @@
 
 	kind     string
 	revision int
+	at       time.Time
 }
 
 // store is the platform's store: linearizable, with one revision counter. It keeps
-// its whole history.
+// its whole history unless keepFor is called.
 type store struct {
 	address string
 
@@ -52,6 +56,10 @@
 	changed  chan struct{}
 	// silent is closed at the end of a silence; nil is none.
 	silent chan struct{}
+	// history is how long changes are kept; zero is for good. dropped is the revision
+	// of the last change that is gone.
+	history time.Duration
+	dropped int
 }
 
 // silence makes the store answer nothing until the returned function is called.
@@ -153,6 +161,7 @@
 }
 
 func (s *store) note(e event) {
+	e.at = time.Now()
 	s.events = append(s.events, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -231,10 +240,15 @@
 	}
 	slices.Sort(names)
 	items := []object{}
+	bytes := 0
 	for _, name := range names[:min(len(names), storePage)] {
-		items = append(items, s.objects[kind][name])
+		o := s.objects[kind][name]
+		if bytes += len(o.Spec); bytes > pageBytes && len(items) > 0 {
+			break
+		}
+		items = append(items, o)
 	}
-	respond(w, http.StatusOK, map[string]any{"items": items, "has-more": len(names) > storePage, "store-revision": s.revision})
+	respond(w, http.StatusOK, map[string]any{"items": items, "has-more": len(names) > len(items), "store-revision": s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -243,6 +257,12 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
+		s.forget()
+		if from < s.dropped {
+			s.mu.Unlock()
+			http.Error(w, "this history is gone", http.StatusGone)
+			return
+		}
 		events := []event{}
 		for _, e := range s.events {
 			if e.revision > from && e.kind == kind {
@@ -268,6 +288,21 @@
 	}
 }
 
+// keepFor sets how long changes are kept.
+func (s *store) keepFor(history time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = history
+}
+
+// forget drops the changes that are older than the history; the caller holds the lock.
+func (s *store) forget() {
+	for s.history > 0 && len(s.events) > 0 && time.Since(s.events[0].at) > s.history {
+		s.dropped = s.events[0].revision
+		s.events = s.events[1:]
+	}
+}
+
 func respond(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
