--- a/review/standin2/entries.go
+++ b/review/standin2/entries.go
@@ -22,8 +22,9 @@
 	// lingerTime is how much longer than drainTime a runner serves that drains, as the
 	// site file says.
 	lingerTime = 1500 * time.Millisecond
-	// releaseGap is the time from one replacement to the next, as in the site file.
-	releaseGap = time.Second
+	// releaseGap is the time from one release, of a third of the runners, to the next;
+	// the old runner of the one before has ended by then.
+	releaseGap = drainTime + lingerTime + 500*time.Millisecond
 	// lookupRate is the number of requests a second, playTime how long they are sent.
 	lookupRate = 20
 	playTime   = 20 * time.Second
@@ -66,7 +67,7 @@
 	acknowledged time.Time
 }
 
-// replace replaces the runners one after the other: the new one starts first, the old
+// replace replaces the runners in one release each: the new one starts first, the old
 // one drains and ends.
 func replace(f *fleet, old []*runner, start func(i int) (*runner, error)) ([]replacement, []*runner, error) {
 	var out []replacement
@@ -89,7 +90,7 @@
 	return out, started, nil
 }
 
-// largeEntries is the case of a release of a service after another writer has written
+// largeEntries is the case of releases of a service after another writer has written
 // large entries.
 func largeEntries(f *fleet, trouble bool) (held bool, err error) {
 	f.store.keepFor(storeHistory)
