--- a/pkg/cli/route.go
+++ b/pkg/cli/route.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +64,12 @@
 	defer log.Close()
 	logger := log.Logger(level)
 	current := &settingsFile{name: file, loadedModTime: modTime(file), level: level, log: logger}
+	// The grace period begins at the signal, also if the node is still starting.
+	var terminated atomic.Pointer[time.Time]
+	context.AfterFunc(ctx, func() {
+		now := time.Now()
+		terminated.Store(&now)
+	})
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	n, err := edge.New(s, logger)
@@ -90,7 +97,11 @@
 			}
 		}
 	}
-	if err := n.Stop(); err != nil {
+	requested := time.Now()
+	if at := terminated.Load(); at != nil {
+		requested = *at
+	}
+	if err := n.Stop(requested); err != nil {
 		return err
 	}
 	return failure
--- a/pkg/edge/drain_test.go
+++ b/pkg/edge/drain_test.go
@@ -35,7 +35,7 @@
 			grace := n.settings.Bounds.Grace.Std()
 			accepting := time.Duration(acceptShare * float64(grace))
 			stopped := make(chan error, 1)
-			go func() { stopped <- n.Stop() }()
+			go func() { stopped <- n.Stop(time.Now()) }()
 			time.Sleep(accepting - 100*time.Millisecond)
 			conn := dialRaw(t, n.settings.Entry)
 			_, _ = io.WriteString(conn, ahead)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -254,36 +254,31 @@
 // Failed returns a channel with the first error that a service ended with.
 func (n *Node) Failed() <-chan error { return n.kernel.Failed() }
 
-const (
-	// acceptShare is the fraction of the grace period in which a leaving node
-	// still accepts requests, for callers with cached directory answers.
-	acceptShare = 0.375
-	// exitReserve is the time before the end of the grace period at which the
-	// node aborts open requests.
-	exitReserve = 700 * time.Millisecond
-	// refuseTime is how long requests that arrive when the node no longer accepts any
-	// are still refused with an answer, before connections are closed unread.
-	refuseTime = 300 * time.Millisecond
-)
-
 // Stop leaves the fleet, serves callers with cached directory answers for a
-// while, drains open requests and exits within the grace period.
-func (n *Node) Stop() error {
-	grace := n.settings.Bounds.Grace.Std()
-	started := time.Now()
+// while, drains open requests and exits within the grace period, which began when
+// the stop was requested. Neither the store nor another node can delay it.
+func (n *Node) Stop(requested time.Time) error {
+	phases := newStopPhases(requested, n.settings.Bounds.Grace.Std())
 	n.leaving.Store(true)
-	n.log.Info(eventlog.NodeLeaving, "open", n.relay.Open(), "grace_ms", grace.Milliseconds())
+	n.log.Info(eventlog.NodeLeaving, "open", n.relay.Open(), "grace_ms", n.settings.Bounds.Grace.Std().Milliseconds(),
+		"requested_ms", time.Since(requested).Milliseconds())
 	n.members.Leave()
-	n.registry.leave(context.Background())
-	time.Sleep(time.Duration(acceptShare * float64(grace)))
-	n.draining.Store(true)
-	time.Sleep(refuseTime)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitReserve))
+	ctx, cancel := context.WithDeadline(context.Background(), phases.abort)
 	defer cancel()
+	removed := n.registry.leave(ctx)
+	time.Sleep(time.Until(phases.refuse))
+	n.draining.Store(true)
+	time.Sleep(time.Until(phases.close))
+	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds())
 	drainErr := n.servers.shutdown(ctx)
 	open := n.relay.Open()
-	err := n.kernel.Stop(context.Background())
-	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(started).Milliseconds(), "error", errorText(drainErr))
+	cancel()
+	<-removed
+	n.registry.close()
+	ending, end := context.WithDeadline(context.Background(), phases.exit)
+	defer end()
+	err := n.kernel.Stop(ending)
+	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(), "error", errorText(drainErr))
 	return err
 }
 
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -204,7 +204,7 @@
 	f := newFleet(t, 3)
 	gone := f.nodes[0]
 	done := make(chan error, 1)
-	go func() { done <- gone.Stop() }()
+	go func() { done <- gone.Stop(time.Now()) }()
 	f.eventually("the leaving node is not ready", func() bool { return !gone.Ready() })
 	if status, _ := f.get(gone, "/lookup/1", "key"); status != 200 {
 		t.Errorf("a leaving node answers %d to a caller with a cached address", status)
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -42,7 +42,7 @@
 
 // Delete implements quarantine.Store. Another node may have deleted the object.
 func (q quarantineStore) Delete(ctx context.Context, part string) error {
-	err := q.store.Delete(ctx, storeview.QuarantinedParts, partName(part))
+	err := q.store.Delete(ctx, storeview.QuarantinedParts, partName(part), 0)
 	if result.CodeOf(err) == result.ObjectNotFound {
 		return nil
 	}
--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -33,7 +33,8 @@
 	List(ctx context.Context, kind storeview.Kind) ([]storeview.Object, topology.Revision, error)
 	Get(ctx context.Context, kind storeview.Kind, name string) (storeview.Object, error)
 	Put(ctx context.Context, kind storeview.Kind, name string, spec any) error
-	Delete(ctx context.Context, kind storeview.Kind, name string) error
+	// Delete removes an object if it still has the revision; zero is any.
+	Delete(ctx context.Context, kind storeview.Kind, name string, revision topology.Revision) error
 }
 
 const (
@@ -68,6 +69,10 @@
 	host  string
 	own   entry
 	log   *slog.Logger
+	// ctx ends the lookups of certificates, which belong to no service, when the
+	// registry is closed by close.
+	ctx   context.Context
+	close context.CancelFunc
 	// live returns the live members that trusted nodes have reported; it is set
 	// before the first handshake.
 	live func() []peer.Member
@@ -80,10 +85,14 @@
 	seeds   []string
 	// listed is the start of the latest list.
 	listed time.Time
+	// ownRevision is the revision of this node's entry, zero if it is not known.
+	ownRevision topology.Revision
 }
 
 func newRegistry(store entryStore, host string, own entry) *registry {
-	return &registry{store: store, host: host, own: own, trusted: map[string]bool{own.Fingerprint: true}}
+	r := &registry{store: store, host: host, own: own, trusted: map[string]bool{own.Fingerprint: true}}
+	r.ctx, r.close = context.WithCancel(context.Background())
+	return r
 }
 
 func (*registry) Name() string { return "fleet.registry" }
@@ -123,11 +132,63 @@
 	return true
 }
 
-// leave removes the node's entry.
-func (r *registry) leave(ctx context.Context) {
-	if err := r.store.Delete(ctx, storeview.Nodes, r.host); err != nil {
+// leave removes the node's entry, with retries until the store confirms it or ctx
+// ends. It returns at once; the channel is closed at the end.
+func (r *registry) leave(ctx context.Context) (ended <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !r.removeEntry(ctx) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(registerRetry):
+			}
+		}
+	}()
+	return done
+}
+
+// removeEntry makes one attempt to remove the node's entry and reports whether it
+// is gone. A removal that the store carries out late must not remove the entry of
+// the next process on this host, so it is bound to the entry's revision.
+func (r *registry) removeEntry(ctx context.Context) bool {
+	revision, err := r.entryRevision(ctx)
+	if err == nil && revision > 0 {
+		err = r.store.Delete(ctx, storeview.Nodes, r.host, revision)
+	}
+	switch {
+	case result.CodeOf(err) == result.ObjectNotFound:
+		return true
+	case result.CodeOf(err) == result.ObjectConflict:
+		// A write of this process that was carried out late, or another process.
+		r.mu.Lock()
+		r.ownRevision = 0
+		r.mu.Unlock()
+	case err != nil:
 		r.log.Warn(eventlog.NotRegistered, "host", r.host, "leaving", true, "error", err.Error())
 	}
+	return err == nil
+}
+
+// entryRevision returns the revision of this node's entry, zero if the host has
+// that of another process.
+func (r *registry) entryRevision(ctx context.Context) (topology.Revision, error) {
+	r.mu.Lock()
+	revision := r.ownRevision
+	r.mu.Unlock()
+	if revision > 0 {
+		return revision, nil
+	}
+	object, err := r.store.Get(ctx, storeview.Nodes, r.host)
+	if err != nil {
+		return 0, err
+	}
+	var e entry
+	if json.Unmarshal(object.Spec, &e) != nil || e.Fingerprint != r.own.Fingerprint {
+		return 0, nil
+	}
+	return object.Revision, nil
 }
 
 // isTrusted reports whether a certificate belongs to a node of the fleet. It reads
@@ -143,7 +204,7 @@
 	if r.has(fingerprint) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, listTimeout)
 	defer cancel()
 	known, found := r.registered(ctx, host, fingerprint)
 	if !found {
@@ -221,18 +282,22 @@
 	}
 	trusted := map[string]bool{r.own.Fingerprint: true}
 	var seeds []string
+	var ownRevision topology.Revision
 	for _, o := range objects {
 		var e entry
 		if err := json.Unmarshal(o.Spec, &e); err != nil || e.Fingerprint == "" {
 			r.log.Warn(eventlog.ObjectRefused, "kind", storeview.Nodes.String(), "object", o.Name, "revision", o.Revision)
 			continue
 		}
+		if e.Fingerprint == r.own.Fingerprint {
+			ownRevision = o.Revision
+		}
 		trusted[e.Fingerprint] = true
 		seeds = append(seeds, e.PeerAddress)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trusted, r.seeds = trusted, seeds
+	r.trusted, r.seeds, r.ownRevision = trusted, seeds, ownRevision
 }
 
 // Seeds implements membership.SeedSource.
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -4,6 +4,7 @@
 const (
 	NodeStarted      = "node started"
 	NodeLeaving      = "node leaving"
+	NodeDraining     = "node draining"
 	NodeStopped      = "node stopped"
 	MetricsNotServed = "metrics not served"
 	SettingsTaken    = "settings taken"
