--- a/pkg/billing/billing_test.go
+++ b/pkg/billing/billing_test.go
@@ -79,6 +79,7 @@
 func (m fakeMembers) Live() []peer.Member {
 	return slices.DeleteFunc(m.All(), func(p peer.Member) bool { return p.State != peer.Alive && p.State != peer.Leaving })
 }
+func (m fakeMembers) Reachable() []peer.Member   { return m.Live() }
 func (m fakeMembers) Isolated() bool             { return false }
 func (m fakeMembers) SetReady(bool)              {}
 func (m fakeMembers) Leave()                     {}
--- a/pkg/edge/directory.go
+++ b/pkg/edge/directory.go
@@ -25,13 +25,25 @@
 // platform.Directory.
 type directory struct {
 	members peer.Members
+	// storeInTouch reports whether the store has answered lately.
+	storeInTouch func() bool
 	// maxTTL is the longest time that callers may cache an answer.
 	maxTTL time.Duration
 }
 
 // Resolve implements platform.Directory.
 func (d *directory) Resolve(region, domain string) ([]string, time.Duration) {
-	return sampleAddresses(nearest(d.members.Live(), region, domain), maxAddresses), min(directoryTTL, d.maxTTL)
+	return sampleAddresses(nearest(d.candidates(), region, domain), maxAddresses), min(directoryTTL, d.maxTTL)
+}
+
+// candidates returns the members that callers may be sent to. It answers the loss of
+// most nodes at once: an isolated node that the store still answers takes those that
+// it can't reach for lost. Without the store it is rather this node that is cut off.
+func (d *directory) candidates() []peer.Member {
+	if d.members.Isolated() && d.storeInTouch() {
+		return d.members.Reachable()
+	}
+	return d.members.Live()
 }
 
 // sampleAddresses returns at most n of the addresses, chosen at random for each answer,
--- a/pkg/edge/directory_test.go
+++ b/pkg/edge/directory_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -136,3 +138,52 @@
 		t.Errorf("2 addresses become %v", few)
 	}
 }
+
+// fakeMembers are the members as one node sees them.
+type fakeMembers struct {
+	peer.Members
+	live, reachable []peer.Member
+	isolated        bool
+}
+
+func (m fakeMembers) Live() []peer.Member      { return m.live }
+func (m fakeMembers) Reachable() []peer.Member { return m.reachable }
+func (m fakeMembers) Isolated() bool           { return m.isolated }
+
+// TestCandidates guards against callers that are sent to lost nodes after the loss of
+// most of them, and against all callers of a node that is cut off being sent to it.
+func TestCandidates(t *testing.T) {
+	self, other := member("self", "a", "r", peer.Alive, true), member("other", "a", "r", peer.Alive, true)
+	for name, tc := range map[string]struct {
+		isolated, storeInTouch bool
+		want                   []string
+	}{
+		"connected":            {false, true, []string{"other", "self"}},
+		"store away":           {false, false, []string{"other", "self"}},
+		"most nodes lost":      {true, true, []string{"self"}},
+		"this node is cut off": {true, false, []string{"other", "self"}},
+	} {
+		d := &directory{
+			members:      fakeMembers{live: []peer.Member{other, self}, reachable: []peer.Member{self}, isolated: tc.isolated},
+			storeInTouch: func() bool { return tc.storeInTouch }, maxTTL: directoryTTL,
+		}
+		if got, _ := d.Resolve("r", "a"); !cmp.Equal(got, tc.want) {
+			t.Errorf("%s: %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// TestDirectoryAfterMassLoss guards against directory answers that name lost nodes
+// when more nodes are lost than are left.
+func TestDirectoryAfterMassLoss(t *testing.T) {
+	f := newFleet(t, 5)
+	left := f.nodes[0]
+	for _, n := range f.nodes[1:] {
+		go func() { _ = n.kernel.Stop(context.Background()) }() // The node ends without leaving.
+	}
+	lost := time.Now()
+	f.eventually("the directory names the node that is left only", func() bool { return f.resolve(left) == left.settings.Entry })
+	if took := time.Since(lost); took > 6*time.Second {
+		t.Errorf("the directory names lost nodes for %v", took)
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -176,7 +176,7 @@
 		Draining: n.draining.Load,
 		Closing:  func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
-	addresses := &directory{members: n.members, maxTTL: s.Bounds.DirectoryTTL.Std()}
+	addresses := &directory{members: n.members, storeInTouch: n.storeInTouch, maxTTL: s.Bounds.DirectoryTTL.Std()}
 	out := newServers(n.idleLimit)
 	for _, l := range []struct {
 		address string
@@ -234,6 +234,17 @@
 	return ""
 }
 
+// storeInTouch reports whether the store, or another node for it, has confirmed any
+// part of the view within the stability window.
+func (n *Node) storeInTouch() bool {
+	for kind := storeview.Configurations; kind <= storeview.Evacuations; kind++ {
+		if age := n.storeView.Age(kind); age >= 0 && age <= n.settings.Bounds.StabilityWindow.Std() {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready reports whether the node serves callers, takes connections and is not
 // leaving.
 func (n *Node) Ready() bool {
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -63,7 +63,7 @@
 			case <-t.Dying():
 				return nil
 			case <-changes:
-				f.log.Info(eventlog.MembersChanged, "live", len(f.members.Live()), "known", f.NodeCount(),
+				f.log.Info(eventlog.MembersChanged, "live", len(f.members.Live()), "reachable", len(f.members.Reachable()), "known", f.NodeCount(),
 					"isolated", f.members.Isolated())
 			}
 			select {
@@ -79,7 +79,8 @@
 // Self implements canary.Fleet.
 func (f *fleet) Self() string { return string(f.msgr.Self()) }
 
-// Peers implements canary.Fleet.
+// Peers implements canary.Fleet. It includes nodes that are out of reach: they may
+// still send to the releases.
 func (f *fleet) Peers() []string {
 	var ids []string
 	for _, m := range f.members.Live() {
@@ -104,10 +105,11 @@
 	return ids
 }
 
-// DomainNodes implements relay.Fleet.
+// DomainNodes implements relay.Fleet. The nodes divide the upstreams, so those that
+// are out of reach do not count.
 func (f *fleet) DomainNodes() []string {
 	var ids []string
-	for _, m := range f.members.Live() {
+	for _, m := range f.members.Reachable() {
 		if m.FailureDomain == f.domain && (m.State == peer.Alive || m.ID == f.msgr.Self()) {
 			ids = append(ids, string(m.ID))
 		}
@@ -177,7 +179,7 @@
 // region.
 func (n notices) Query(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
 	var near []peer.NodeID
-	for _, m := range n.members.Live() {
+	for _, m := range n.members.Reachable() {
 		if m.ID != n.msgr.Self() && m.Region == n.region && m.State == peer.Alive {
 			near = append(near, m.ID)
 		}
@@ -196,7 +198,7 @@
 
 // QueryParent implements storeview.Peers.
 func (n notices) QueryParent(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
-	parent, ok := parentOf(n.members.Live(), n.msgr.Self())
+	parent, ok := parentOf(n.members.Reachable(), n.msgr.Self())
 	if !ok {
 		return reply, storeview.ErrNoParent
 	}
@@ -247,15 +249,15 @@
 	})
 }
 
-// Rank implements storeview.Peers. A node that has not joined the other nodes in
+// Rank implements storeview.Peers. After the loss of most nodes the others choose
+// new readers among themselves. A node that has not joined the other nodes in
 // the store does not read it for them yet: when many nodes start at once, each
 // would be the first reader of its own fleet.
 func (n notices) Rank() int {
-	live := n.members.Live()
-	if len(live) <= 1 && n.registry.nodeCount() > 1 {
+	if len(n.members.Live()) <= 1 && n.registry.nodeCount() > 1 {
 		return storeview.Readers
 	}
-	ids := readers(live)
+	ids := readers(n.members.Reachable())
 	if place := slices.Index(ids, n.msgr.Self()); place >= 0 {
 		return place
 	}
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -297,7 +297,11 @@
 		return
 	}
 	marks := s.config.Marks()
-	for _, m := range s.members.Live() {
+	members := s.members.Reachable()
+	if len(members) <= 1 {
+		members = s.members.Live() // An isolated node that reaches no other may be the one that is cut off.
+	}
+	for _, m := range members {
 		if m.State == peer.Alive && m.Ready && !marks.DomainOut(m.FailureDomain) {
 			answer.Entries = append(answer.Entries, Entry{URL: m.EntryAddress, Region: m.Region, FailureDomain: m.FailureDomain})
 		}
--- a/pkg/membership/overlay.go
+++ b/pkg/membership/overlay.go
@@ -10,7 +10,9 @@
 // overlay is the set of this node's outgoing connections.
 type overlay struct {
 	neighbours []peer.NodeID
-	relay      bool
+	// probers are the nodes of the region that have this one among their neighbours.
+	probers []peer.NodeID
+	relay   bool
 	// stale is set when the members change. The overlay is recomputed at most
 	// once per tick, not per change, to bound the work of a burst of changes.
 	stale bool
@@ -25,7 +27,7 @@
 	var ring []peer.NodeID
 	for _, e := range s.table.entries {
 		m := e.member
-		if m.State == peer.Dead {
+		if m.State == peer.Dead || s.outOfReach(e) {
 			continue
 		}
 		if m.Region == s.self.Region {
@@ -33,7 +35,8 @@
 		}
 		byRegion[m.Region] = append(byRegion[m.Region], m)
 	}
-	next := overlay{neighbours: fingers(ring, s.self.ID)}
+	next := overlay{}
+	next.neighbours, next.probers = fingers(ring, s.self.ID)
 	for _, m := range relays(byRegion, s.self.Region) {
 		next.relay = next.relay || m.ID == s.self.ID
 	}
@@ -41,6 +44,7 @@
 		next.neighbours = append(next.neighbours, otherRelays(byRegion, s.self.Region)...)
 	}
 	s.overlay = next
+	s.reach.forgetProbers(next.probers)
 }
 
 // relays returns the relays of a region, chosen among its alive members. If no
@@ -79,8 +83,9 @@
 }
 
 // fingers returns the successors of self at distances 1, 2, 4, … on the ring
-// of ids ordered by hash.
-func fingers(ids []peer.NodeID, self peer.NodeID) []peer.NodeID {
+// of ids ordered by hash, and its predecessors at these distances, which have self
+// among their fingers.
+func fingers(ids []peer.NodeID, self peer.NodeID) (successors, predecessors []peer.NodeID) {
 	type point struct {
 		hash uint64
 		id   peer.NodeID
@@ -96,9 +101,10 @@
 		return cmp.Compare(a.id, b.id)
 	})
 	at := slices.IndexFunc(ring, func(p point) bool { return p.id == self })
-	out := []peer.NodeID{}
+	successors = []peer.NodeID{}
 	for d := 1; at >= 0 && d < len(ring); d *= 2 {
-		out = append(out, ring[(at+d)%len(ring)].id)
+		successors = append(successors, ring[(at+d)%len(ring)].id)
+		predecessors = append(predecessors, ring[(at+len(ring)-d)%len(ring)].id)
 	}
-	return out
+	return successors, predecessors
 }
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -23,6 +23,8 @@
 type probe struct {
 	Seq   uint64            `cbor:"1,keyasint"`
 	Extra map[string][]byte `cbor:"2,keyasint,omitempty"`
+	// Isolated is set by a sender that considers itself isolated.
+	Isolated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ack acknowledges a probe, or a probeRequest whose target has acknowledged.
@@ -43,7 +45,7 @@
 const (
 	// direct probes go to neighbours; a missed one triggers indirect probes.
 	direct purpose = iota
-	// indirect is a missed direct probe that other neighbours now repeat.
+	// indirect is a missed probe that other neighbours now repeat.
 	indirect
 	// delegated probes are made for a probeRequest of another node.
 	delegated
@@ -57,6 +59,8 @@
 	purpose  purpose
 	sent     time.Time
 	deadline time.Time
+	// sampled is set for indirect probes of a member that missed a sample probe.
+	sampled bool
 	// requester and requestSeq are set for delegated probes.
 	requester  peer.NodeID
 	requestSeq uint64
@@ -89,7 +93,7 @@
 	seq := s.probes.seq
 	f.sent, f.deadline = now, now.Add(probeTimeout)
 	s.probes.inFlight[seq] = f
-	s.notify(f.target, kindProbe, probe{Seq: seq, Extra: s.piggybackData()})
+	s.notify(f.target, kindProbe, probe{Seq: seq, Extra: s.piggybackData(), Isolated: s.reach.isolated})
 }
 
 func (s *Service) piggybackData() map[string][]byte {
@@ -154,31 +158,59 @@
 func (s *Service) onMiss(now time.Time, seq uint64, f *inFlight) {
 	switch f.purpose {
 	case direct:
-		s.reach.recordResult(f.target, false, f.sent)
-		f.purpose = indirect
-		f.deadline = now.Add(probeTimeout)
-		for _, helper := range s.indirectProbers(f.target) {
-			s.notify(helper, kindProbeRequest, probeRequest{Seq: seq, Target: f.target})
-		}
+		s.recordResult(f.target, false, f.sent)
+		s.probeIndirectly(now, seq, f)
 		return
-	case indirect:
-		s.suspect(f.target, now)
 	case sample:
-		s.reach.recordResult(f.target, false, f.sent)
+		s.recordResult(f.target, false, f.sent)
+		if s.doubtsSampleMiss(f.target, now) {
+			f.sampled = true
+			s.probeIndirectly(now, seq, f)
+			return
+		}
+	case indirect:
+		if !f.sampled || s.doubtsSampleMiss(f.target, now) {
+			s.suspect(f.target, now)
+		}
 	}
 	delete(s.probes.inFlight, seq)
 }
 
-// indirectProbers picks random neighbours to probe a target indirectly.
+// doubtsSampleMiss reports whether a member that missed a probe of a sample may be
+// down without another node noticing: all members that probe it may be down too.
+// An isolated node leaves that open until it may declare members dead.
+func (s *Service) doubtsSampleMiss(id peer.NodeID, now time.Time) bool {
+	e := s.table.entries[id]
+	return e != nil && e.live() && s.mayDeclareDead(now)
+}
+
+// probeIndirectly lets other nodes repeat a missed probe.
+func (s *Service) probeIndirectly(now time.Time, seq uint64, f *inFlight) {
+	f.purpose = indirect
+	f.deadline = now.Add(probeTimeout)
+	for _, helper := range s.indirectProbers(f.target) {
+		s.notify(helper, kindProbeRequest, probeRequest{Seq: seq, Target: f.target})
+	}
+}
+
+// indirectProbers picks random neighbours to probe a target indirectly, first
+// those that acknowledged their latest probe.
 func (s *Service) indirectProbers(target peer.NodeID) []peer.NodeID {
-	var others []peer.NodeID
+	var reached, missed []peer.NodeID
 	for _, id := range s.overlay.neighbours {
-		if id != target {
-			others = append(others, id)
+		switch e := s.table.entries[id]; {
+		case id == target:
+		case e != nil && e.missed:
+			missed = append(missed, id)
+		default:
+			reached = append(reached, id)
 		}
 	}
-	s.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(len(others), indirectProbes)]
+	for _, ids := range [][]peer.NodeID{reached, missed} {
+		s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	}
+	helpers := append(reached, missed...)
+	return helpers[:min(len(helpers), indirectProbes)]
 }
 
 // suspect marks a member suspect, floods the suspicion and also sends it to the
@@ -201,6 +233,9 @@
 func (s *Service) onProbe(now time.Time, from peer.NodeID, m probe) {
 	s.notify(from, kindAck, ack{Seq: m.Seq, Extra: s.piggybackData()})
 	s.deliverPiggyback(from, m.Extra)
+	if slices.Contains(s.overlay.probers, from) {
+		s.reach.recordProber(from, m.Isolated, now)
+	}
 	e := s.table.entries[from]
 	switch {
 	case e == nil:
@@ -223,10 +258,10 @@
 	}
 	switch f.purpose {
 	case direct, sample:
-		s.reach.recordResult(f.target, true, f.sent)
+		s.recordResult(f.target, true, f.sent)
 	case indirect:
 		if from == f.target {
-			s.reach.recordResult(f.target, true, f.sent)
+			s.recordResult(f.target, true, f.sent)
 		}
 	case delegated:
 		s.notify(f.requester, kindAck, ack{Seq: f.requestSeq})
--- a/pkg/membership/reach.go
+++ b/pkg/membership/reach.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cassiapin/pkg/peer"
@@ -21,6 +23,9 @@
 	sampleSize = 128
 	// sampleInterval is the sampling period while few members are reachable.
 	sampleInterval = 2 * time.Second
+	// proberTimeout is how long a node may stop probing another before it counts as
+	// silent: two probes may be late or lost.
+	proberTimeout = 2*probeInterval + probeTimeout
 	// sampleDuration is the time until all probes of a sample have been answered or
 	// have timed out.
 	sampleDuration = probeTimeout + 2*TickInterval
@@ -39,6 +44,8 @@
 	results   map[peer.NodeID]probeResult
 	sampledAt time.Time
 	isolated  bool
+	// probedBy has the last probe by each of the probers.
+	probedBy map[peer.NodeID]lastProbe
 	// contactSince is when an isolated node began to reach any other member; zero
 	// while it reaches none.
 	contactSince time.Time
@@ -48,11 +55,23 @@
 
 // recordResult stores the result of a direct probe that was sent at the given
 // time.
-func (r *reachability) recordResult(id peer.NodeID, reached bool, sent time.Time) {
+func (s *Service) recordResult(id peer.NodeID, reached bool, sent time.Time) {
+	r := &s.reach
 	if r.results == nil {
 		r.results = make(map[peer.NodeID]probeResult)
 	}
 	r.results[id] = probeResult{reached, sent}
+	if e := s.table.entries[id]; e != nil && e.missed == reached {
+		e.missed = !reached
+		s.changed = s.changed || r.isolated
+	}
+}
+
+// outOfReach reports whether this node is isolated and has not reached a member
+// lately. An isolated node probes all members in turn, since suspicions no longer
+// reach it.
+func (s *Service) outOfReach(e *entry) bool {
+	return s.reach.isolated && e.missed && e.member.ID != s.self.ID
 }
 
 // sampleCounts returns the number of recently probed members and how many of
@@ -86,6 +105,52 @@
 	return unresponsive > 0 && 2*unresponsive >= len(s.overlay.neighbours)
 }
 
+// lastProbe is what a node knows of one of its probers.
+type lastProbe struct {
+	at time.Time
+	// isolated is set if the prober considers itself isolated.
+	isolated bool
+}
+
+// probersTroubled reports whether at least half of the nodes that probe this one have
+// stopped or are isolated. Then floods may not reach it any more, as they take the
+// same way, or nobody floods what has happened.
+func (s *Service) probersTroubled(now time.Time) bool {
+	heard, troubled := 0, 0
+	for _, id := range s.overlay.probers {
+		last, known := s.reach.probedBy[id]
+		if e := s.table.entries[id]; !known || e == nil || e.left {
+			continue
+		}
+		if heard++; last.isolated || now.Sub(last.at) > proberTimeout {
+			troubled++
+		}
+	}
+	return troubled > 0 && 2*troubled >= heard
+}
+
+// recordProber records that a member has probed this node.
+func (r *reachability) recordProber(id peer.NodeID, isolated bool, now time.Time) {
+	if r.probedBy == nil {
+		r.probedBy = make(map[peer.NodeID]lastProbe)
+	}
+	r.probedBy[id] = lastProbe{now, isolated}
+}
+
+// restartProberTimeouts restarts the time-outs of the nodes that probe this one after
+// this process was paused.
+func (r *reachability) restartProberTimeouts(now time.Time) {
+	for id, last := range r.probedBy {
+		last.at = now
+		r.probedBy[id] = last
+	}
+}
+
+// forgetProbers drops members that are not among the probers.
+func (r *reachability) forgetProbers(probers []peer.NodeID) {
+	maps.DeleteFunc(r.probedBy, func(id peer.NodeID, _ lastProbe) bool { return !slices.Contains(probers, id) })
+}
+
 // recentMembers returns the number of members that are not dead or died without
 // leaving within recentWindow, and the number that are not dead; both include
 // self.
@@ -103,14 +168,14 @@
 	return recent, notDead
 }
 
-// tickReach probes a sample of the members when few neighbours respond, and
-// decides whether this node is isolated.
+// tickReach probes a sample of the members when few neighbours respond or probe this
+// node, and decides whether this node is isolated.
 func (s *Service) tickReach(now time.Time) {
 	sampled, reached := s.sampleCounts(now)
 	recent, notDead := s.recentMembers(now)
 	s.reach.updateContact(reached > 1, now)
 	fewReached := 2*reached < sampled
-	degraded := fewReached || s.neighboursUnresponsive()
+	degraded := fewReached || s.neighboursUnresponsive() || s.probersTroubled(now)
 	if degraded || s.reach.isolated {
 		age := now.Sub(s.reach.sampledAt)
 		if age >= sampleInterval {
@@ -183,14 +248,17 @@
 	s.log.Info("node isolation changed", "state", detail)
 }
 
-// startSample probes random members that were live within recentWindow.
+// startSample probes members that were live within recentWindow, those first that
+// have not been in a sample for the longest time.
 func (s *Service) startSample(now time.Time) {
 	s.reach.sampledAt = now
 	candidates := s.table.sorted(func(e *entry) bool {
 		return e.member.ID != s.self.ID && (e.member.State != peer.Dead || !e.left && now.Sub(e.since) < recentWindow)
 	})
 	s.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b *entry) int { return a.sampledAt.Compare(b.sampledAt) })
 	for _, e := range candidates[:min(len(candidates), sampleSize)] {
+		e.sampledAt = now
 		s.sendProbe(now, &inFlight{target: e.member.ID, purpose: sample})
 	}
 }
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -147,9 +147,9 @@
 	piggybacks   map[string]Piggyback
 }
 
-// views caches the results of All and Live.
+// views caches the results of All, Live and Reachable.
 type views struct {
-	all, live []peer.Member
+	all, live, reachable []peer.Member
 }
 
 // New returns a membership service.
@@ -321,6 +321,7 @@
 		if !s.lastTick.IsZero() && now.Sub(s.lastTick) > stallThreshold {
 			s.probes.cancelAll()
 			s.restartSuspicionTimers(now)
+			s.reach.restartProberTimeouts(now)
 		}
 		s.lastTick = now
 		s.refreshOverlay()
@@ -354,6 +355,14 @@
 	return s.views.live
 }
 
+// Reachable implements peer.Members. The caller must not change the slice.
+func (s *Service) Reachable() []peer.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.buildViews()
+	return s.views.reachable
+}
+
 // Isolated implements peer.Members.
 func (s *Service) Isolated() bool {
 	s.mu.Lock()
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -86,7 +86,11 @@
 	// reportedDeadAt is when another node first reported this live member dead;
 	// zero if the current incarnation was not reported dead.
 	reportedDeadAt time.Time
-	digest         uint64
+	// missed reports whether this node's latest probe of the member was not
+	// acknowledged; sampledAt is the start of the latest sample with the member.
+	missed    bool
+	sampledAt time.Time
+	digest    uint64
 }
 
 // liveState returns the state of the member without suspicion.
@@ -345,17 +349,21 @@
 	}
 }
 
-// buildViews fills the caches of All and Live if they are empty.
+// buildViews fills the caches of All, Live and Reachable if they are empty.
 func (s *Service) buildViews() {
 	if s.views.all != nil {
 		return
 	}
 	entries := s.table.sorted(func(*entry) bool { return true })
 	v := views{all: make([]peer.Member, 0, len(entries)), live: make([]peer.Member, 0, len(entries))}
+	v.reachable = make([]peer.Member, 0, len(entries))
 	for _, e := range entries {
 		v.all = append(v.all, e.member)
 		if e.live() {
 			v.live = append(v.live, e.member)
+			if !s.outOfReach(e) {
+				v.reachable = append(v.reachable, e.member)
+			}
 		}
 	}
 	s.views = v
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -72,6 +72,11 @@
 	All() []Member
 	// Live returns the alive and leaving members in id order, self included.
 	Live() []Member
+	// Reachable returns the live members without those that this node has not
+	// reached lately. They differ from Live only on a node that is isolated, which
+	// can't tell whether the others are down or only out of its reach: work may
+	// be sent to reachable members, while limits are shared with all live ones.
+	Reachable() []Member
 	// Isolated reports whether this node cannot reach most of the members.
 	Isolated() bool
 	// SetReady announces whether this node serves callers.
--- a/pkg/runners/cluster_test.go
+++ b/pkg/runners/cluster_test.go
@@ -165,6 +165,7 @@
 }
 
 func (m members) All() []peer.Member         { return m.Live() }
+func (m members) Reachable() []peer.Member   { return m.Live() }
 func (m members) Isolated() bool             { return false }
 func (m members) SetReady(bool)              {}
 func (m members) Leave()                     {}
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -74,6 +74,7 @@
 func (m fakeMembers) Self() peer.Member          { return peer.Member{ID: m.id} }
 func (m fakeMembers) All() []peer.Member         { return m.order }
 func (m fakeMembers) Live() []peer.Member        { return m.order }
+func (m fakeMembers) Reachable() []peer.Member   { return m.Live() }
 func (m fakeMembers) Isolated() bool             { return false }
 func (m fakeMembers) SetReady(bool)              {}
 func (m fakeMembers) Leave()                     {}
