--- a/pkg/budget/connections.go
+++ b/pkg/budget/connections.go
@@ -32,6 +32,9 @@
 // server needs ConnState.
 type Connections struct {
 	limit int
+	// headAccount returns the account of a connection's heads while they are read;
+	// nil is no bound.
+	headAccount func() Account
 
 	mu   sync.Mutex
 	open int
@@ -124,7 +127,7 @@
 	}
 	c.refusing = time.Time{}
 	c.open++
-	out := &boundConn{TCPConn: tcp, connections: c, idleSince: time.Now()}
+	out := &boundConn{TCPConn: tcp, connections: c, idleSince: time.Now(), head: c.newHeadMeter()}
 	out.element = c.idle.PushBack(out)
 	return out
 }
@@ -164,6 +167,7 @@
 	if !ok || state != http.StateIdle {
 		return // Read and Close notice the other changes.
 	}
+	b.head.Begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if b.element == nil && !b.left {
@@ -207,11 +211,13 @@
 	})
 }
 
-// boundConn is a counted connection. The lock of its Connections guards all fields
-// but TCPConn.
+// boundConn is a counted connection. The lock of its Connections guards the fields
+// from element on.
 type boundConn struct {
 	*net.TCPConn
 	connections *Connections
+	// head counts the bytes of a request until its head has been read.
+	head *HeadMeter
 	// element is its place among the idle connections; nil while it is not idle.
 	element   *list.Element
 	idleSince time.Time
@@ -226,6 +232,10 @@
 	if n > 0 && !b.begin() {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && !b.head.Add(n) {
+		headsRefused.Inc()
+		return 0, errHeadMemory
+	}
 	return n, err
 }
 
@@ -247,5 +257,6 @@
 	b.connections.mu.Lock()
 	b.connections.leave(b)
 	b.connections.mu.Unlock()
+	b.head.End()
 	return b.TCPConn.Close()
 }
--- a/pkg/budget/memory.go
+++ b/pkg/budget/memory.go
@@ -1,5 +1,5 @@
 // Package budget bounds what all requests of a node hold together: the memory of
-// bodies and answers, and connections with their file descriptors.
+// heads, bodies and answers, and connections with their file descriptors.
 package budget
 
 import (
@@ -61,13 +61,17 @@
 	return m.used.Load()
 }
 
+// ArrivingHeads owns the memory of heads that are being read: it is not known yet
+// whose requests they belong to. No organisation has this name.
+const ArrivingHeads = "\x00arriving"
+
 // shareFactor times the free memory is what one owner may hold. So a single owner
 // gets two thirds of the memory, and there is always room for another one.
 const shareFactor = 2
 
-// SharedMemory bounds the bytes of requests' bodies, all together and by owner: the
-// more memory is in use, the less may one owner hold. It is safe for concurrent
-// use; a nil SharedMemory has no bound.
+// SharedMemory bounds the bytes of requests, their heads and bodies, all together and
+// by owner: the more memory is in use, the less may one owner hold. It is safe for
+// concurrent use; a nil SharedMemory has no bound.
 type SharedMemory struct {
 	limit int64
 
@@ -81,6 +85,7 @@
 	return &SharedMemory{limit: limit, owners: make(map[string]int64)}
 }
 
+// bodiesRefused counts requests without room for their head or body.
 var bodiesRefused = metrics.GetOrCreateCounter("cassiapin_bodies_refused_total")
 
 // Export makes the state of the process's only SharedMemory a metric.
@@ -99,17 +104,19 @@
 	return m.used
 }
 
-// Of returns the account of an owner.
-func (m *SharedMemory) Of(owner string) Account { return ownAccount{m, owner} }
+// Of returns the account of one request of an owner.
+func (m *SharedMemory) Of(owner string) Account { return &requestAccount{memory: m, owner: owner} }
 
-// ownAccount is the account of one owner.
-type ownAccount struct {
+// requestAccount is the account of one request.
+type requestAccount struct {
 	memory *SharedMemory
 	owner  string
+	// held is what the request holds; the memory's lock guards it.
+	held int64
 }
 
-// Take implements Account. A single body may use all of the memory.
-func (a ownAccount) Take(n int) bool {
+// Take implements Account. A single request may use all of the memory.
+func (a *requestAccount) Take(n int) bool {
 	m := a.memory
 	if m == nil || n == 0 {
 		return true
@@ -117,18 +124,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own, free := m.owners[a.owner], m.limit-m.used
-	fits := int64(n) <= free && (m.used == 0 || own+int64(n) <= shareFactor*(free-int64(n)))
+	fits := int64(n) <= free && (m.used == a.held || own+int64(n) <= shareFactor*(free-int64(n)))
 	if !fits {
 		bodiesRefused.Inc()
 		return false
 	}
 	m.used += int64(n)
+	a.held += int64(n)
 	m.owners[a.owner] = own + int64(n)
 	return true
 }
 
 // Release implements Account.
-func (a ownAccount) Release(n int) {
+func (a *requestAccount) Release(n int) {
 	m := a.memory
 	if m == nil || n == 0 {
 		return
@@ -136,6 +144,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= int64(n)
+	a.held -= int64(n)
 	if m.owners[a.owner] -= int64(n); m.owners[a.owner] == 0 {
 		delete(m.owners, a.owner)
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -49,7 +49,8 @@
 	// answerShare is the share of the host's memory for answers that are larger
 	// than usual.
 	answerShare = 0.125
-	// bodyShare is the share of the host's memory for the bodies of requests.
+	// bodyShare is the share of the host's memory for the heads and bodies of
+	// requests.
 	bodyShare = 0.35
 	// refusingLimit is how long a node may refuse connections and still be ready.
 	refusingLimit = time.Second
@@ -69,7 +70,7 @@
 	quarantine *quarantine.Service
 	servers    *servers
 	// callers are the connections of callers, bodies the memory of their requests'
-	// bodies.
+	// heads and bodies.
 	callers *budget.Connections
 	bodies  *budget.SharedMemory
 	// leaving is set once the node stops, draining once it takes no new requests.
@@ -142,6 +143,7 @@
 	files := budget.DivideFiles(s.Limits.FileDescriptors)
 	runners := platform.NewRunnerClient()
 	runners.LimitIdle(files.IdleUpstreams)
+	runners.LimitHeads(memory)
 	n.relay = relay.New(relay.Options{
 		FailureDomain: s.FailureDomain, Region: s.Region,
 		Client: runners, Views: n.storeView, Fleet: nodes,
@@ -171,6 +173,7 @@
 	s := n.settings
 	n.callers = budget.NewConnections(files.Callers)
 	n.callers.Export()
+	n.callers.LimitHeads(func() budget.Account { return n.bodies.Of(budget.ArrivingHeads) })
 	callers := &platform.CallerHandler{
 		Relay: n.relay, BodyLimit: n.bodyLimit, Bodies: n.bodies, Owner: n.organisation, Log: n.log,
 		Draining: n.draining.Load,
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -22,8 +22,10 @@
 	// idleTimeout closes idle connections while there is no configuration, whose
 	// limit holds afterwards.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the headers of a caller's request, maxToolHeaderBytes
+	// those of lookups, readiness checks and metrics, which need few.
+	maxHeaderBytes     = 64 << 10
+	maxToolHeaderBytes = 8 << 10
 )
 
 // servers runs the HTTP listeners of a node.
@@ -54,7 +56,7 @@
 func (s *servers) add(l net.Listener, handler http.Handler, connections *budget.Connections, callers bool) {
 	out := &server{
 		Server: http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxToolHeaderBytes,
 		},
 		listener: connections.Listener(l), connections: connections, callers: callers,
 	}
@@ -63,7 +65,11 @@
 	// their first request closed although it has been read.
 	out.RegisterOnShutdown(func() { connections.CloseIdle(0) })
 	if callers {
-		out.Handler, out.ConnContext = s.hangups.Handler(handler), hangup.ConnContext
+		out.MaxHeaderBytes = maxHeaderBytes
+		out.Handler = connections.Handler(s.hangups.Handler(handler))
+		out.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			return budget.ConnContext(hangup.ConnContext(ctx, conn), conn)
+		}
 	}
 	s.all = append(s.all, out)
 }
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -22,11 +22,24 @@
 // again is added at random, so that callers do not return at once.
 const memoryRetry = time.Second
 
+// headCopies is the number of copies of a request's header that are held until its
+// answer ends: that of the server and that of the call.
+const headCopies = 2
+
 // readBody reads the request body with a read timeout, a limit of its own and the
-// organisation's share of the memory for all bodies. The body is valid until
-// release is called.
+// organisation's share of the memory for all heads and bodies. The body is valid
+// until release is called.
 func (s *Service) readBody(w http.ResponseWriter, r *http.Request, c *caller) (body []byte, release func(), err error) {
-	buffer := &budget.Buffer{Account: s.bodies.Of(c.organisation.Name), Limit: int(c.snapshot.Limits.BodyBytes)}
+	account := s.bodies.Of(c.organisation.Name)
+	head := headCopies * budget.HeaderBytes(r.Header)
+	if !account.Take(head) {
+		return nil, nil, s.bodyError(w, c, budget.ErrNoMemory)
+	}
+	buffer := &budget.Buffer{Account: account, Limit: int(c.snapshot.Limits.BodyBytes)}
+	release = func() {
+		buffer.Release()
+		account.Release(head)
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.clock.Now().Add(readBodyTimeout))
 	if r.ContentLength > 0 {
@@ -36,17 +49,23 @@
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
-		return buffer.Bytes, buffer.Release, nil
+		return buffer.Bytes, release, nil
 	}
-	buffer.Release()
+	release()
+	return nil, nil, s.bodyError(w, c, err)
+}
+
+// bodyError returns the error for the caller of a request whose body was not read to
+// its end.
+func (*Service) bodyError(w http.ResponseWriter, c *caller, err error) error {
 	w.Header().Set("Connection", "close") // The rest of the body is not read.
 	switch {
 	case errors.Is(err, budget.ErrTooLarge):
-		return nil, nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", c.snapshot.Limits.BodyBytes)
+		return result.New(result.BodyTooLarge, "the body exceeds %d bytes", c.snapshot.Limits.BodyBytes)
 	case errors.Is(err, budget.ErrNoMemory):
-		return nil, nil, result.New(result.MemoryExhausted, "there is no memory for the body").WithRetryAfter(memoryRetry + rand.N(memoryRetry))
+		return result.New(result.MemoryExhausted, "there is no memory for the request").WithRetryAfter(memoryRetry + rand.N(memoryRetry))
 	}
-	return nil, nil, result.Wrap(err, result.BadRequest, result.NotRun, "the body could not be read")
+	return result.Wrap(err, result.BadRequest, result.NotRun, "the body could not be read")
 }
 
 func (s *Service) chat(w http.ResponseWriter, r *http.Request, c *caller) {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -90,7 +90,7 @@
 	// hangups watches the connections of callers with open requests.
 	hangups *hangup.Watcher
 	// connections bounds the connections of callers, bodies the memory of their
-	// requests' bodies.
+	// requests' heads and bodies.
 	connections  *budget.Connections
 	bodies       *budget.SharedMemory
 	openRequests atomic.Int64
@@ -126,10 +126,13 @@
 	kernel.Require(f, dispatch.ServiceName, &s.dispatcher)
 	// Tests run without a membership service.
 	kernel.Optional(f, peer.MembershipServiceName, &s.members)
+	s.connections.LimitHeads(func() budget.Account { return s.bodies.Of(budget.ArrivingHeads) })
 	s.listener = s.connections.Listener(s.options.Listener)
 	s.server = &http.Server{
-		Handler:           s.hangups.Handler(s.handler()),
-		ConnContext:       hangup.ConnContext,
+		Handler: s.connections.Handler(s.hangups.Handler(s.handler())),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return budget.ConnContext(hangup.ConnContext(ctx, conn), conn)
+		},
 		ConnState:         s.connections.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
