--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -58,16 +58,6 @@
 	f.store.PutRunner(id, release, platformtest.PlainRunner(f.t, id, count))
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // freePeerPort returns a UDP port that is free on the addresses of some nodes.
 func freePeerPort(t *testing.T, nodes int) int {
 	t.Helper()
@@ -108,10 +98,12 @@
 func (f *testFleet) startSettings(i int, change func(*settings.Router), prepare func(*Node)) *Node {
 	f.t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
-	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
+	ports := platformtest.FreePorts(f.t, ip, 4)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	text := platformtest.Node{
-		Host: fmt.Sprintf("front-%d", i), Domain: "z1", IP: ip, Entry: address(), Ready: address(), Directory: address(),
-		PeerPort: f.peerPort, MetricsPort: freePort(f.t), Store: f.store.Address, Seeds: `["127.0.0.10:1"]`,
+		Host: fmt.Sprintf("front-%d", i), Domain: "z1", IP: ip,
+		Entry: address(ports[0]), Ready: address(ports[1]), Directory: address(ports[2]),
+		PeerPort: f.peerPort, MetricsPort: ports[3], Store: f.store.Address, Seeds: `["127.0.0.10:1"]`,
 	}.Settings()
 	s, err := settings.ParseRouter("node.toml", text)
 	if err != nil {
