--- a/pkg/budget/heads.go
+++ b/pkg/budget/heads.go
@@ -41,9 +41,11 @@
 	// free is the number of bytes of each head that are not counted.
 	free int
 
-	mu            sync.Mutex
-	reading       bool
-	received, own int
+	mu      sync.Mutex
+	reading bool
+	// received are the bytes of the current head, taken what the account gave for
+	// them.
+	received, taken int
 }
 
 // NewHeadMeter returns a meter that counts nothing until Begin.
@@ -67,14 +69,14 @@
 		return true
 	}
 	m.received += n
-	need := headExpansion*max(m.received-m.free, 0) - m.own
+	need := headExpansion*max(m.received-m.free, 0) - m.taken
 	if need <= 0 {
 		return true
 	}
 	if !m.account.Take(need) {
 		return false
 	}
-	m.own += need
+	m.taken += need
 	return true
 }
 
@@ -87,10 +89,10 @@
 }
 
 func (m *HeadMeter) reset() {
-	if m.own > 0 {
-		m.account.Release(m.own)
+	if m.taken > 0 {
+		m.account.Release(m.taken)
 	}
-	m.received, m.own = 0, 0
+	m.received, m.taken = 0, 0
 }
 
 // freeRequestHead is the part of each request's head that is not counted while it
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -22,10 +22,10 @@
 	// idleTimeout closes idle connections while there is no configuration, whose
 	// limit holds afterwards.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the headers of a caller's request, maxToolHeaderBytes
+	// maxHeaderBytes bounds the headers of a caller's request, maxAuxiliaryHeaderBytes
 	// those of lookups, readiness checks and metrics, which need few.
-	maxHeaderBytes     = 64 << 10
-	maxToolHeaderBytes = 8 << 10
+	maxHeaderBytes          = 64 << 10
+	maxAuxiliaryHeaderBytes = 8 << 10
 )
 
 // servers runs the HTTP listeners of a node.
@@ -56,7 +56,7 @@
 func (s *servers) add(l net.Listener, handler http.Handler, connections *budget.Connections, callers bool) {
 	out := &server{
 		Server: http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxToolHeaderBytes,
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxAuxiliaryHeaderBytes,
 		},
 		listener: connections.Listener(l), connections: connections, callers: callers,
 	}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -163,23 +163,23 @@
 		return
 	case sample:
 		s.recordResult(f.target, false, f.sent)
-		if s.doubtsSampleMiss(f.target, now) {
+		if s.mayBeDownUnnoticed(f.target, now) {
 			f.sampled = true
 			s.probeIndirectly(now, seq, f)
 			return
 		}
 	case indirect:
-		if !f.sampled || s.doubtsSampleMiss(f.target, now) {
+		if !f.sampled || s.mayBeDownUnnoticed(f.target, now) {
 			s.suspect(f.target, now)
 		}
 	}
 	delete(s.probes.inFlight, seq)
 }
 
-// doubtsSampleMiss reports whether a member that missed a probe of a sample may be
+// mayBeDownUnnoticed reports whether a member that missed a sample probe may be
 // down without another node noticing: all members that probe it may be down too.
 // An isolated node leaves that open until it may declare members dead.
-func (s *Service) doubtsSampleMiss(id peer.NodeID, now time.Time) bool {
+func (s *Service) mayBeDownUnnoticed(id peer.NodeID, now time.Time) bool {
 	e := s.table.entries[id]
 	return e != nil && e.live() && s.mayDeclareDead(now)
 }
