--- a/pkg/edge/directory_test.go
+++ b/pkg/edge/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -178,8 +179,10 @@
 func TestDirectoryAfterMassLoss(t *testing.T) {
 	f := newFleet(t, 5)
 	left := f.nodes[0]
+	var ending sync.WaitGroup
+	defer ending.Wait()
 	for _, n := range f.nodes[1:] {
-		go func() { _ = n.kernel.Stop(context.Background()) }() // The node ends without leaving.
+		ending.Go(func() { _ = n.kernel.Stop(context.Background()) }) // The node ends without leaving.
 	}
 	lost := time.Now()
 	f.eventually("the directory names the node that is left only", func() bool { return f.resolve(left) == left.settings.Entry })
