--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,11 +33,7 @@
 	work := n.settings.Bounds.Grace.Std() / 4
 	f.store.RemoveRunner("i-1")
 	f.store.RemoveRunner("i-2")
-	f.store.PutRunner("i-3", "v1", platformtest.Runner(t, func(w http.ResponseWriter, q *http.Request) {
-		time.Sleep(work)
-		w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
-		w.Header().Set("Response-Stamp", "signed")
-	}))
+	f.store.PutRunner("i-3", "v1", platformtest.SlowRunner(t, "i-3", work, &atomic.Int64{}))
 	f.store.PutRoutes(2, platformtest.AtMostOnceRoute("/booking/"))
 	f.eventually("the node knows the runner and the route", func() bool {
 		v := n.storeView.View()
