Planned stop: logs that tell late acceptance, aborts, dropped reads and a late process apart

Callers saw requests that were accepted long after SIGTERM and got no answer. The logs could not tell the hypotheses of the incident apart: request lines had no time since the stop, the abort at the end of the grace period was logged as a caller that left, and a request that was read and dropped with its connection left no line.

Request lines of a leaving node have after_stop_ms; aborted requests have an event and an outcome of their own; the lines of the node have timer_delay_ms and dropped. The phases move to pkg/drain unchanged, so that pkg/relay can ask for them. No decision changes.

--- a/pkg/budget/connections.go
+++ b/pkg/budget/connections.go
@@ -23,6 +23,7 @@
 var (
 	connectionsEvicted = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="evicted"}`)
 	connectionsExpired = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="idle"}`)
+	connectionsDropped = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="dropped"}`)
 	connectionsRefused = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="refused"}`)
 )
 
@@ -41,6 +42,9 @@
 	// idle are the connections on which no request is at work, the longest idle
 	// first.
 	idle *list.List
+	// dropped counts connections that were read after they had been chosen to be
+	// closed.
+	dropped int
 	// refusing is when a connection was first refused since one was last accepted;
 	// zero is never.
 	refusing time.Time
@@ -64,6 +68,14 @@
 	return c.open
 }
 
+// Dropped returns the number of connections on which a request was read and dropped
+// because they had been chosen to be closed.
+func (c *Connections) Dropped() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped
+}
+
 // Crowded reports whether callers should close their connections after the answer,
 // because few more can be opened.
 func (c *Connections) Crowded() bool { return float64(c.Open()) > crowdedShare*float64(c.limit) }
@@ -249,6 +261,10 @@
 		c.idle.Remove(b.element)
 		b.element = nil
 	}
+	if b.evicted {
+		c.dropped++
+		connectionsDropped.Inc()
+	}
 	return !b.evicted
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -19,6 +19,7 @@
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
+	"cassiapin/pkg/drain"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/limits"
@@ -75,6 +76,8 @@
 	bodies  *budget.SharedMemory
 	// leaving is set once the node stops, draining once it takes no new requests.
 	leaving, draining atomic.Bool
+	stop              drain.Stop
+	readiness         *readiness
 }
 
 // New assembles a node and opens its listeners.
@@ -156,15 +159,16 @@
 		Prefill: placement.NewPrefillEstimator(),
 		Delay:   cascade.NewDelayEstimator(),
 		Canary:  canaryService, Quarantine: n.quarantine,
-		Memory: memory,
+		Memory: memory, Stop: &n.stop,
 	})
+	n.readiness = &readiness{node: n}
 	n.servers, err = n.listen(files)
 	if err != nil {
 		return nil, err
 	}
 	return []kernel.Service{
 		timeline.NewService(id, n.kernel.HLC, timelineCapacity), n.registry, transport, n.members, nodes,
-		n.storeView, canaryService, n.quarantine, n.relay, &readiness{node: n}, n.servers,
+		n.storeView, canaryService, n.quarantine, n.relay, n.readiness, n.servers,
 	}, nil
 }
 
@@ -272,27 +276,30 @@
 // while, drains open requests and exits within the grace period, which began when
 // the stop was requested. Neither the store nor another node can delay it.
 func (n *Node) Stop(requested time.Time) error {
-	phases := newStopPhases(requested, n.settings.Bounds.Grace.Std())
+	phases := drain.NewPhases(requested, n.settings.Bounds.Grace.Std())
+	n.stop.Begin(phases)
 	n.leaving.Store(true)
 	n.log.Info(eventlog.NodeLeaving, "open", n.relay.Open(), "grace_ms", n.settings.Bounds.Grace.Std().Milliseconds(),
-		"requested_ms", time.Since(requested).Milliseconds())
+		"requested_ms", time.Since(requested).Milliseconds(), "timer_delay_ms", n.readiness.delay().Milliseconds())
 	n.members.Leave()
-	ctx, cancel := context.WithDeadline(context.Background(), phases.abort)
+	ctx, cancel := context.WithDeadline(context.Background(), phases.Abort)
 	defer cancel()
 	removed := n.registry.leave(ctx)
-	time.Sleep(time.Until(phases.refuse))
+	time.Sleep(time.Until(phases.Refuse))
 	n.draining.Store(true)
-	time.Sleep(time.Until(phases.close))
-	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds())
+	time.Sleep(time.Until(phases.Close))
+	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds(),
+		"timer_delay_ms", n.readiness.delay().Milliseconds())
 	drainErr := n.servers.shutdown(ctx)
 	open := n.relay.Open()
 	cancel()
 	<-removed
 	n.registry.close()
-	ending, end := context.WithDeadline(context.Background(), phases.exit)
+	ending, end := context.WithDeadline(context.Background(), phases.Exit)
 	defer end()
 	err := n.kernel.Stop(ending)
-	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(), "error", errorText(drainErr))
+	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(),
+		"dropped", n.callers.Dropped(), "error", errorText(drainErr))
 	return err
 }
 
--- a/pkg/edge/readiness.go
+++ b/pkg/edge/readiness.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,18 @@
 type readiness struct {
 	kernel.Base
 	node *Node
+	// checked is when the last check was due; nil before the first.
+	checked atomic.Pointer[time.Time]
+}
+
+// delay returns how late the next check is: how long the process has not run what
+// was due.
+func (r *readiness) delay() time.Duration {
+	last := r.checked.Load()
+	if last == nil {
+		return 0
+	}
+	return max(time.Since(*last)-readyInterval, 0)
 }
 
 func (*readiness) Name() string { return "node.readiness" }
@@ -35,6 +48,7 @@
 				return nil
 			case due := <-ticker.C:
 				timerDelay.Update(time.Since(due).Seconds())
+				r.checked.Store(&due)
 			}
 			if now := r.node.Ready(); now != last {
 				last = now
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -26,6 +26,7 @@
 	RequestRefused = "request refused"
 	RequestFailed  = "request failed"
 	CallerLeft     = "caller left"
+	RequestAborted = "request aborted"
 	AttemptFailed  = "attempt failed"
 	UpstreamWish   = "upstream refuses or leaves"
 	ModelEscalated = "model escalated"
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -17,6 +17,7 @@
 	outcomeRefused    = "refused"
 	outcomeFailed     = "failed"
 	outcomeCallerLeft = "caller_left"
+	outcomeAborted    = "aborted"
 )
 
 // Stages of a request, labels of the callers that left.
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -11,6 +11,7 @@
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/cascade"
 	"cassiapin/pkg/clock"
+	"cassiapin/pkg/drain"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/limits"
@@ -67,6 +68,8 @@
 	Quarantine *quarantine.Service
 	// Memory bounds the buffers of answers; nil is no bound.
 	Memory *budget.Memory
+	// Stop is the planned stop of the node; nil is none.
+	Stop *drain.Stop
 }
 
 // Service serves requests. It is registered as ServiceName.
@@ -292,6 +295,9 @@
 	if f.route != nil {
 		attrs = append(attrs, "route", f.route.Name, "kind", f.route.Kind.String(), "organisation", f.organisationName())
 	}
+	if p, leaving := f.service.opts.Stop.Phases(); leaving {
+		attrs = append(attrs, "after_stop_ms", f.request.Received.Sub(p.Requested).Milliseconds())
+	}
 	return append(attrs, more...)
 }
 
@@ -321,12 +327,19 @@
 	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, Reason: reason})
 }
 
-// callerLeft ends a request whose caller has disconnected.
+// callerLeft ends a request whose caller has disconnected, or whose connection the
+// node has closed at the end of its stop.
 func (f *flow) callerLeft() {
-	f.countOutcome(outcomeCallerLeft)
 	stage := f.stage()
-	countCallerLeft(stage)
-	f.service.log.Info(eventlog.CallerLeft, f.attrs("stage", stage, "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
+	event := eventlog.CallerLeft
+	if f.service.opts.Stop.Aborting(f.service.clock.Now()) {
+		event = eventlog.RequestAborted
+		f.countOutcome(outcomeAborted)
+	} else {
+		f.countOutcome(outcomeCallerLeft)
+		countCallerLeft(stage)
+	}
+	f.service.log.Info(event, f.attrs("stage", stage, "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
 		"upstream", f.lastUpstreamID(), "delivered", f.delivered)...)
 	f.out.Abort()
 }
