Connections whose next request has arrived are not idle

Callers saw a kept connection closed although the node had read their request. Idle connections were closed at the end of the accept phase, and at the connection limit, whether or not bytes had arrived; what the connection's goroutine read afterwards was dropped. On a host that runs late such a request is older than loss-slack-ms by then. http.Server.Shutdown closes connections between the read and the state change as well.

evictIdle asks the socket for unread bytes first. A node that drains closes its listener, closes connections as they become idle and answers what is read meanwhile.

--- a/pkg/budget/connections.go
+++ b/pkg/budget/connections.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
+
+	"cassiapin/pkg/hangup"
 )
 
 const (
@@ -146,16 +148,26 @@
 
 // evictOldest takes the connection out that has been idle longest; it returns nil
 // without one. The caller holds the lock and closes the connection.
-func (c *Connections) evictOldest() *boundConn {
-	first := c.idle.Front()
-	if first == nil {
-		return nil
+func (c *Connections) evictOldest() *boundConn { return c.evictIdle(0) }
+
+// evictIdle is evictOldest for connections that have been idle for a time. One with
+// unread bytes is not idle: a process that runs late would otherwise read a request
+// and drop it.
+func (c *Connections) evictIdle(after time.Duration) *boundConn {
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		out := e.Value.(*boundConn)
+		if time.Since(out.idleSince) < after {
+			return nil
+		}
+		if out.hasUnread() {
+			continue
+		}
+		c.idle.Remove(e)
+		out.element, out.evicted = nil, true
+		c.leave(out)
+		return out
 	}
-	out := first.Value.(*boundConn)
-	c.idle.Remove(first)
-	out.element, out.evicted = nil, true
-	c.leave(out)
-	return out
+	return nil
 }
 
 // leave stops counting a connection. The caller holds the lock.
@@ -192,13 +204,11 @@
 func (c *Connections) CloseIdle(after time.Duration) {
 	for {
 		c.mu.Lock()
-		first := c.idle.Front()
-		if first == nil || time.Since(first.Value.(*boundConn).idleSince) < after {
-			c.mu.Unlock()
+		conn := c.evictIdle(after)
+		c.mu.Unlock()
+		if conn == nil {
 			return
 		}
-		conn := c.evictOldest()
-		c.mu.Unlock()
 		connectionsExpired.Inc()
 		_ = conn.TCPConn.Close() // Its server notices that it ends.
 	}
@@ -251,6 +261,12 @@
 	return n, err
 }
 
+// hasUnread reports whether bytes have arrived that have not been read.
+func (b *boundConn) hasUnread() bool {
+	raw, err := b.TCPConn.SyscallConn()
+	return err == nil && hangup.HasUnread(raw)
+}
+
 // begin takes a connection with a request out of the idle ones. It returns false if
 // the connection was chosen to be closed.
 func (b *boundConn) begin() bool {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -290,7 +290,7 @@
 	time.Sleep(time.Until(phases.Close))
 	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds(),
 		"timer_delay_ms", n.readiness.delay().Milliseconds())
-	drainErr := n.servers.shutdown(ctx)
+	drainErr := n.servers.drain(ctx)
 	open := n.relay.Open()
 	cancel()
 	<-removed
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,6 +45,8 @@
 
 type server struct {
 	http.Server
+	// draining is set before the listener is closed while open requests go on.
+	draining atomic.Bool
 	listener net.Listener
 	// connections bounds the open connections.
 	connections *budget.Connections
@@ -61,9 +64,6 @@
 		listener: connections.Listener(l), connections: connections, callers: callers,
 	}
 	out.ConnState = connections.ConnState
-	// Connections that were never used would otherwise be kept for some seconds, and
-	// their first request closed although it has been read.
-	out.RegisterOnShutdown(func() { connections.CloseIdle(0) })
 	if callers {
 		out.MaxHeaderBytes = maxHeaderBytes
 		out.Handler = connections.Handler(s.hangups.Handler(handler))
@@ -86,10 +86,11 @@
 	for _, server := range s.all {
 		server.connections.Run(t, s.idleLimit)
 		t.Go(func() error {
-			if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
+			err := server.Serve(server.listener)
+			if errors.Is(err, http.ErrServerClosed) || server.draining.Load() {
+				return nil
 			}
-			return nil
+			return err
 		})
 	}
 	t.Go(func() error {
@@ -102,16 +103,39 @@
 	return nil
 }
 
-// shutdown stops accepting connections from callers and waits for their open
-// requests until ctx ends.
-func (s *servers) shutdown(ctx context.Context) error {
-	var err error
+// drainInterval is the period at which the connections of a server that drains are
+// checked.
+const drainInterval = 20 * time.Millisecond
+
+// drain stops accepting connections from callers, closes those that become idle and
+// waits until none is left or ctx ends. Unlike http.Server.Shutdown it closes no
+// connection whose next request has arrived, and requests that are read meanwhile
+// are answered.
+func (s *servers) drain(ctx context.Context) error {
 	for _, server := range s.all {
-		if server.callers {
-			err = errors.CombineErrors(err, server.Shutdown(ctx))
+		if server.callers && server.draining.CompareAndSwap(false, true) {
+			_ = server.listener.Close() // No new connections either way.
+		}
+	}
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		open := 0
+		for _, server := range s.all {
+			if server.callers {
+				server.connections.CloseIdle(0)
+				open += server.connections.Open()
+			}
+		}
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
 	}
-	return err
 }
 
 // metricsHandler serves the process's metrics.
--- a/pkg/hangup/poll_linux.go
+++ b/pkg/hangup/poll_linux.go
@@ -19,13 +19,29 @@
 	return err != nil || closed
 }
 
-func pollHangup(fd int32) bool {
-	fds := [1]unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+func pollHangup(fd int32) bool { return poll(fd, unix.POLLRDHUP)&hangupEvents != 0 }
+
+// HasUnread reports whether the peer has sent bytes that this process has not read.
+func HasUnread(conn syscall.RawConn) bool {
+	var unread bool
+	err := conn.Control(func(fd uintptr) {
+		got := poll(int32(fd), unix.POLLIN|unix.POLLRDHUP)
+		unread = got&unix.POLLIN != 0 && got&hangupEvents == 0
+	})
+	return err == nil && unread
+}
+
+// poll returns the events that have occurred, zero after an error.
+func poll(fd int32, events int16) int16 {
+	fds := [1]unix.PollFd{{Fd: fd, Events: events}}
 	for {
 		n, err := unix.Poll(fds[:], 0)
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		return err == nil && n > 0 && fds[0].Revents&hangupEvents != 0
+		if err != nil || n == 0 {
+			return 0
+		}
+		return fds[0].Revents
 	}
 }
