--- a/pkg/drain/phases.go
+++ b/pkg/drain/phases.go
@@ -2,15 +2,15 @@
 // requests the node still accepts.
 package drain
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 const (
-	// AcceptShare is the fraction of the grace period in which a leaving node
-	// still accepts requests, for callers with cached directory answers.
+	// AcceptShare is the fraction of the grace period, counted from when the stop is
+	// requested, after whose end no request that is sent may be accepted.
 	AcceptShare = 0.375
+	// lateShare is the fraction of the grace period by which the node may notice the
+	// stop late: it accepts requests for that much less than AcceptShare.
+	lateShare = 0.0625
 	// RefuseTime is how long requests that arrive when the node no longer accepts any
 	// are still refused with an answer, before connections are closed unread.
 	RefuseTime = 300 * time.Millisecond
@@ -22,7 +22,7 @@
 )
 
 // Phases are the times at which the phases of a planned stop begin. They depend
-// only on when the stop was requested: the platform counts the grace period from
+// only on when the stop was requested, as far as the node knows: the platform counts the grace period from
 // there, so a phase that begins late leaves less time for open requests.
 type Phases struct {
 	Requested time.Time
@@ -35,7 +35,7 @@
 
 // NewPhases returns the phases of a stop with a grace period.
 func NewPhases(requested time.Time, grace time.Duration) Phases {
-	refuse := requested.Add(time.Duration(AcceptShare * float64(grace)))
+	refuse := requested.Add(time.Duration((AcceptShare - lateShare) * float64(grace)))
 	end := requested.Add(grace)
 	return Phases{
 		Requested: requested,
@@ -43,29 +43,3 @@
 		Abort: end.Add(-abortReserve), Exit: end.Add(-exitReserve),
 	}
 }
-
-// Stop is the planned stop of a node. The zero value and nil are a node that has
-// not been asked to stop. It is safe for concurrent use.
-type Stop struct {
-	phases atomic.Pointer[Phases]
-}
-
-// Begin sets the phases once the stop has been requested.
-func (s *Stop) Begin(p Phases) { s.phases.Store(&p) }
-
-// Phases returns the phases; ok is false if no stop has been requested.
-func (s *Stop) Phases() (p Phases, ok bool) {
-	if s == nil {
-		return Phases{}, false
-	}
-	if p := s.phases.Load(); p != nil {
-		return *p, true
-	}
-	return Phases{}, false
-}
-
-// Aborting reports whether open requests are being aborted.
-func (s *Stop) Aborting(now time.Time) bool {
-	p, leaving := s.Phases()
-	return leaving && !now.Before(p.Abort)
-}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -74,10 +74,10 @@
 	// heads and bodies.
 	callers *budget.Connections
 	bodies  *budget.SharedMemory
-	// leaving is set once the node stops, draining once it takes no new requests.
-	leaving, draining atomic.Bool
-	stop              drain.Stop
-	readiness         *readiness
+	// leaving is set once the node stops.
+	leaving   atomic.Bool
+	stop      drain.Stop
+	readiness *readiness
 }
 
 // New assembles a node and opens its listeners.
@@ -180,8 +180,8 @@
 	n.callers.LimitHeads(func() budget.Account { return n.bodies.Of(budget.ArrivingHeads) })
 	callers := &platform.CallerHandler{
 		Relay: n.relay, BodyLimit: n.bodyLimit, Bodies: n.bodies, Owner: n.organisation, Log: n.log,
-		Draining: n.draining.Load,
-		Closing:  func() bool { return n.leaving.Load() || n.callers.Crowded() },
+		Stop:    &n.stop,
+		Closing: func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
 	addresses := &directory{members: n.members, storeInTouch: n.storeInTouch, maxTTL: s.Bounds.DirectoryTTL.Std()}
 	out := newServers(n.idleLimit)
@@ -285,8 +285,6 @@
 	ctx, cancel := context.WithDeadline(context.Background(), phases.Abort)
 	defer cancel()
 	removed := n.registry.leave(ctx)
-	time.Sleep(time.Until(phases.Refuse))
-	n.draining.Store(true)
 	time.Sleep(time.Until(phases.Close))
 	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds(),
 		"timer_delay_ms", n.readiness.delay().Milliseconds())
