--- a/pkg/drain/phases.go
+++ b/pkg/drain/phases.go
@@ -11,13 +11,15 @@
 	// lateShare is the fraction of the grace period by which the node may notice the
 	// stop late: it accepts requests for that much less than AcceptShare.
 	lateShare = 0.0625
-	// RefuseTime is how long requests that arrive when the node no longer accepts any
-	// are still refused with an answer, before connections are closed unread.
+	// RefuseTime is how long connections are still accepted to refuse their requests
+	// with an answer.
 	RefuseTime = 300 * time.Millisecond
 	// abortReserve is the time before the end of the grace period at which the
-	// node aborts open requests, exitReserve that at which it waits for none of its
-	// goroutines any more.
+	// node aborts open requests, closeReserve that at which it closes the connections on
+	// which they are being answered, and exitReserve that at which it waits for none of
+	// its goroutines any more.
 	abortReserve = 700 * time.Millisecond
+	closeReserve = 450 * time.Millisecond
 	exitReserve  = 200 * time.Millisecond
 )
 
@@ -27,10 +29,11 @@
 type Phases struct {
 	Requested time.Time
 	// Refuse ends the time in which requests are accepted, Close that in which
-	// they are answered.
+	// connections are.
 	Refuse, Close time.Time
-	// Abort is when open requests are aborted, Exit when the process ends.
-	Abort, Exit time.Time
+	// Abort is when open requests are aborted, Cut when connections are closed whose
+	// callers have not read their answers, Exit when the process ends.
+	Abort, Cut, Exit time.Time
 }
 
 // NewPhases returns the phases of a stop with a grace period.
@@ -40,6 +43,6 @@
 	return Phases{
 		Requested: requested,
 		Refuse:    refuse, Close: refuse.Add(RefuseTime),
-		Abort: end.Add(-abortReserve), Exit: end.Add(-exitReserve),
+		Abort: end.Add(-abortReserve), Cut: end.Add(-closeReserve), Exit: end.Add(-exitReserve),
 	}
 }
--- a/pkg/drain/phases_test.go
+++ b/pkg/drain/phases_test.go
@@ -12,8 +12,13 @@
 func TestStopPhases(t *testing.T) {
 	requested := time.Now()
 	p := NewPhases(requested, 8*time.Second)
-	got := []time.Duration{p.Refuse.Sub(requested), p.Close.Sub(requested), p.Abort.Sub(requested), p.Exit.Sub(requested)}
-	want := []time.Duration{2500 * time.Millisecond, 2800 * time.Millisecond, 7300 * time.Millisecond, 7800 * time.Millisecond}
+	var got []time.Duration
+	for _, begin := range []time.Time{p.Refuse, p.Close, p.Abort, p.Cut, p.Exit} {
+		got = append(got, begin.Sub(requested))
+	}
+	want := []time.Duration{
+		2500 * time.Millisecond, 2800 * time.Millisecond, 7300 * time.Millisecond, 7550 * time.Millisecond, 7800 * time.Millisecond,
+	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -26,7 +31,7 @@
 	requested := time.Now()
 	bound := requested.Add(3 * time.Second)
 	for _, late := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond} {
-		var s Stop
+		s := NewStop()
 		s.Begin(NewPhases(requested.Add(late), grace))
 		if s.Accepts(bound) || s.Accepts(bound.Add(time.Millisecond)) {
 			t.Errorf("noticed %v late, the node accepts requests after %v", late, bound.Sub(requested))
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -76,7 +76,7 @@
 	bodies  *budget.SharedMemory
 	// leaving is set once the node stops.
 	leaving   atomic.Bool
-	stop      drain.Stop
+	stop      *drain.Stop
 	readiness *readiness
 }
 
@@ -88,7 +88,7 @@
 	log = log.With("node", id)
 	k := kernel.New(clock.Real{}, log)
 	k.Log = eventlog.Stamped(log, k.HLC)
-	n := &Node{settings: s, log: k.Log, kernel: k}
+	n := &Node{settings: s, log: k.Log, kernel: k, stop: drain.NewStop()}
 	services, err := n.assemble(id)
 	if err != nil {
 		return nil, err
@@ -159,7 +159,7 @@
 		Prefill: placement.NewPrefillEstimator(),
 		Delay:   cascade.NewDelayEstimator(),
 		Canary:  canaryService, Quarantine: n.quarantine,
-		Memory: memory, Stop: &n.stop,
+		Memory: memory, Stop: n.stop,
 	})
 	n.readiness = &readiness{node: n}
 	n.servers, err = n.listen(files)
@@ -180,7 +180,7 @@
 	n.callers.LimitHeads(func() budget.Account { return n.bodies.Of(budget.ArrivingHeads) })
 	callers := &platform.CallerHandler{
 		Relay: n.relay, BodyLimit: n.bodyLimit, Bodies: n.bodies, Owner: n.organisation, Log: n.log,
-		Stop:    &n.stop,
+		Stop:    n.stop,
 		Closing: func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
 	addresses := &directory{members: n.members, storeInTouch: n.storeInTouch, maxTTL: s.Bounds.DirectoryTTL.Std()}
@@ -285,11 +285,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), phases.Abort)
 	defer cancel()
 	removed := n.registry.leave(ctx)
+	time.Sleep(time.Until(phases.Refuse))
+	n.stop.Refuse()
 	time.Sleep(time.Until(phases.Close))
 	n.log.Info(eventlog.NodeDraining, "open", n.relay.Open(), "after_ms", time.Since(requested).Milliseconds(),
 		"timer_delay_ms", n.readiness.delay().Milliseconds())
 	drainErr := n.servers.drain(ctx)
 	open := n.relay.Open()
+	if drainErr != nil {
+		n.stop.Abort()
+		answering, end := context.WithDeadline(context.Background(), phases.Cut)
+		defer end()
+		drainErr = n.servers.drain(answering)
+	}
 	cancel()
 	<-removed
 	n.registry.close()
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cassiapin/pkg/canary"
+	"cassiapin/pkg/drain"
 	"cassiapin/pkg/eventlog"
 	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/holdoff"
@@ -329,6 +330,8 @@
 func (f *flow) giveUp(ctx context.Context, fail failure) {
 	now := f.service.clock.Now()
 	switch {
+	case errors.Is(context.Cause(ctx), drain.ErrAborted):
+		f.aborted()
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.callerLeft()
 	case !f.mayHaveRun && fail.code == result.PromptQuarantined:
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -104,6 +104,8 @@
 func (s *Service) Serve(ctx context.Context, r *Request, out Responder) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	ctx, end := s.opts.Stop.RequestContext(ctx)
+	defer end()
 	s.opts.Views.AwaitConfirmed(ctx)
 	f := &flow{service: s, request: r, out: out, sharedParts: r.SharedParts(), tried: make(map[topology.Incarnation]bool)}
 	if !f.admit(ctx) {
@@ -327,23 +329,32 @@
 	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, Reason: reason})
 }
 
-// callerLeft ends a request whose caller has disconnected, or whose connection the
-// node has closed at the end of its stop.
+// callerLeft ends a request whose caller has disconnected.
 func (f *flow) callerLeft() {
+	f.countOutcome(outcomeCallerLeft)
 	stage := f.stage()
-	event := eventlog.CallerLeft
-	if f.service.opts.Stop.Aborting(f.service.clock.Now()) {
-		event = eventlog.RequestAborted
-		f.countOutcome(outcomeAborted)
-	} else {
-		f.countOutcome(outcomeCallerLeft)
-		countCallerLeft(stage)
-	}
-	f.service.log.Info(event, f.attrs("stage", stage, "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
+	countCallerLeft(stage)
+	f.service.log.Info(eventlog.CallerLeft, f.attrs("stage", stage, "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
 		"upstream", f.lastUpstreamID(), "delivered", f.delivered)...)
 	f.out.Abort()
 }
 
+// aborted ends a request that is open at the end of a planned stop. Only a stream
+// that has begun gets no answer.
+func (f *flow) aborted() {
+	switch {
+	case f.begun:
+		f.countOutcome(outcomeAborted)
+		f.service.log.Info(eventlog.RequestAborted, f.attrs("elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends,
+			"upstream", f.lastUpstreamID(), "delivered", f.delivered)...)
+		f.out.Abort()
+	case f.mayHaveRun:
+		f.fail(result.OutcomeUnknown, drain.ErrAborted.Error())
+	default:
+		f.refuse(result.Draining, drain.RetryDelay(), drain.ErrAborted.Error())
+	}
+}
+
 func (f *flow) done(status int) {
 	f.countOutcome(outcomeAnswered)
 	f.countFirstByte(f.firstByte)
