Draining servers drop no request that they have read

Callers saw a kept connection closed without an answer although the node had read their request, three eighths of the grace period after SIGTERM and later. http.Server.Shutdown drops every request that is read after it has begun, and a connection that was chosen to be closed was closed at once, while its goroutine could have read a request and wait for the lock of the accounts.

An evicted connection is not closed any more: its reading ends with a time limit, and its server closes it. A request that was read before is served and counts again. A draining node waits until its server has closed all connections (Connections.Drain), which pkg/entry uses as well; neither calls Shutdown while callers are connected.

TestEvictedRequestUnread has both orders of the choice and the request: served while the connection can still be read, unread afterwards, where before it wanted it dropped. TestIdleConnectionsExpire looks for the end of the connections itself, because a request that races with that end may be served now. The log field dropped goes with its cause.

--- a/pkg/budget/connections.go
+++ b/pkg/budget/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
 	"cassiapin/pkg/hangup"
@@ -25,7 +27,6 @@
 var (
 	connectionsEvicted = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="evicted"}`)
 	connectionsExpired = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="idle"}`)
-	connectionsDropped = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="dropped"}`)
 	connectionsRefused = metrics.GetOrCreateCounter(`cassiapin_caller_connections_closed_total{reason="refused"}`)
 )
 
@@ -41,12 +42,12 @@
 
 	mu   sync.Mutex
 	open int
+	// unclosed counts the connections that their server has not closed, evicted ones
+	// included.
+	unclosed int
 	// idle are the connections on which no request is at work, the longest idle
 	// first.
 	idle *list.List
-	// dropped counts connections that were read after they had been chosen to be
-	// closed.
-	dropped int
 	// refusing is when a connection was first refused since one was last accepted;
 	// zero is never.
 	refusing time.Time
@@ -70,14 +71,6 @@
 	return c.open
 }
 
-// Dropped returns the number of connections on which a request was read and dropped
-// because they had been chosen to be closed.
-func (c *Connections) Dropped() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dropped
-}
-
 // Crowded reports whether callers should close their connections after the answer,
 // because few more can be opened.
 func (c *Connections) Crowded() bool { return float64(c.Open()) > crowdedShare*float64(c.limit) }
@@ -124,7 +117,7 @@
 	var evicted *boundConn
 	defer func() {
 		if evicted != nil {
-			_ = evicted.TCPConn.Close() // Its server notices that it ends.
+			evicted.endReading()
 		}
 	}()
 	c.mu.Lock()
@@ -141,18 +134,18 @@
 	}
 	c.refusing = time.Time{}
 	c.open++
+	c.unclosed++
 	out := &boundConn{TCPConn: tcp, connections: c, idleSince: time.Now(), head: c.newHeadMeter()}
 	out.element = c.idle.PushBack(out)
 	return out
 }
 
 // evictOldest takes the connection out that has been idle longest; it returns nil
-// without one. The caller holds the lock and closes the connection.
+// without one. The caller holds the lock and then calls endReading.
 func (c *Connections) evictOldest() *boundConn { return c.evictIdle(0) }
 
 // evictIdle is evictOldest for connections that have been idle for a time. One with
-// unread bytes is not idle: a process that runs late would otherwise read a request
-// and drop it.
+// unread bytes is not idle.
 func (c *Connections) evictIdle(after time.Duration) *boundConn {
 	for e := c.idle.Front(); e != nil; e = e.Next() {
 		out := e.Value.(*boundConn)
@@ -210,7 +203,33 @@
 			return
 		}
 		connectionsExpired.Inc()
-		_ = conn.TCPConn.Close() // Its server notices that it ends.
+		conn.endReading()
+	}
+}
+
+// drainInterval is the period at which the connections of a server that drains are
+// checked.
+const drainInterval = 20 * time.Millisecond
+
+// Drain closes connections as they become idle and waits until none is left or ctx
+// ends. The server's listener has been closed. Unlike http.Server.Shutdown it drops no
+// request that has arrived: what is read meanwhile is answered.
+func (c *Connections) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		c.CloseIdle(0)
+		c.mu.Lock()
+		unclosed := c.unclosed
+		c.mu.Unlock()
+		if unclosed == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
 	}
 }
 
@@ -243,16 +262,16 @@
 	// element is its place among the idle connections; nil while it is not idle.
 	element   *list.Element
 	idleSince time.Time
-	// evicted is set once it was chosen to be closed, left once it no longer counts.
+	// evicted is set while it is to be closed, left while it does not count.
 	evicted, left bool
+	closed        bool
 }
 
-// Read implements net.Conn. What arrives after the connection was chosen to be
-// closed counts as unread.
+// Read implements net.Conn.
 func (b *boundConn) Read(p []byte) (int, error) {
 	n, err := b.TCPConn.Read(p)
-	if n > 0 && !b.begin() {
-		return 0, net.ErrClosed
+	if n > 0 {
+		b.begin()
 	}
 	if n > 0 && !b.head.Add(n) {
 		headsRefused.Inc()
@@ -267,9 +286,14 @@
 	return err == nil && hangup.HasUnread(raw)
 }
 
-// begin takes a connection with a request out of the idle ones. It returns false if
-// the connection was chosen to be closed.
-func (b *boundConn) begin() bool {
+// lastHeadTimeout bounds the time to read the rest of a head whose first bytes were
+// read when the connection was to be closed.
+const lastHeadTimeout = 5 * time.Second
+
+// begin takes a connection with a request out of the idle ones. A request that was
+// read while the connection was chosen to be closed is served: its caller can't tell
+// that it isn't.
+func (b *boundConn) begin() {
 	c := b.connections
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -277,18 +301,53 @@
 		c.idle.Remove(b.element)
 		b.element = nil
 	}
+	if !b.evicted || b.closed {
+		return
+	}
+	b.evicted, b.left = false, false
+	c.open++
+	_ = b.TCPConn.SetReadDeadline(time.Now().Add(lastHeadTimeout)) // It fails only on closed connections.
+}
+
+// ended is a time limit that has passed.
+var ended = time.Unix(1, 0)
+
+// endReading makes the server of an evicted connection close it, unless a request is
+// read first. Closing it here could drop a request that its server has just read.
+func (b *boundConn) endReading() {
+	b.connections.mu.Lock()
+	defer b.connections.mu.Unlock()
+	if b.evicted {
+		_ = b.TCPConn.SetReadDeadline(ended) // It fails only on closed connections.
+	}
+}
+
+// SetReadDeadline implements net.Conn. The server's time limits do not keep an evicted
+// connection open.
+func (b *boundConn) SetReadDeadline(t time.Time) error {
+	b.connections.mu.Lock()
+	defer b.connections.mu.Unlock()
 	if b.evicted {
-		c.dropped++
-		connectionsDropped.Inc()
+		t = ended
 	}
-	return !b.evicted
+	return b.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (b *boundConn) SetDeadline(t time.Time) error {
+	return errors.CombineErrors(b.SetReadDeadline(t), b.SetWriteDeadline(t))
 }
 
 // Close implements net.Conn.
 func (b *boundConn) Close() error {
-	b.connections.mu.Lock()
-	b.connections.leave(b)
-	b.connections.mu.Unlock()
+	c := b.connections
+	c.mu.Lock()
+	c.leave(b)
+	if !b.closed {
+		b.closed = true
+		c.unclosed--
+	}
+	c.mu.Unlock()
 	b.head.End()
 	return b.TCPConn.Close()
 }
--- a/pkg/budget/connections_test.go
+++ b/pkg/budget/connections_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // startBound serves a handler with a bound on its connections.
@@ -139,8 +141,14 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	c.CloseIdle(10 * time.Millisecond)
-	if kept.get() != 0 || silent.get() != 0 || c.Open() != 0 {
-		t.Errorf("%d connections are open after the limit", c.Open())
+	for _, conn := range []caller{kept, silent} {
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if n, err := conn.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+			t.Errorf("a connection is open after the limit: read %d bytes, %v", n, err)
+		}
+	}
+	if c.Open() != 0 {
+		t.Errorf("%d connections count after the limit", c.Open())
 	}
 	closed := dial(t, s)
 	eventually(t, "it is open", func() bool { return c.Open() == 1 })
@@ -169,20 +177,50 @@
 	return c, in, out
 }
 
-// TestEvictedRequestUnread guards against serving a request that arrives on a
-// connection which was chosen to be closed, and whose answer would be lost.
+// TestEvictedRequestUnread guards against requests that are read on a connection which
+// was chosen to be closed, and whose answer would be lost: they are unread or served.
 func TestEvictedRequestUnread(t *testing.T) {
-	c, in, out := acceptOne(t)
-	c.mu.Lock()
-	evicted := c.evictOldest()
-	c.mu.Unlock()
-	if evicted == nil {
-		t.Fatal("a connection without a request is not idle")
-	}
-	_, _ = fmt.Fprint(out, "GET")
-	if n, err := in.Read(make([]byte, 8)); n != 0 || err == nil {
-		t.Errorf("read %d bytes, %v", n, err)
-	}
+	evict := func(t *testing.T, c *Connections) *boundConn {
+		t.Helper()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		evicted := c.evictOldest()
+		if evicted == nil {
+			t.Fatal("a connection without a request is not idle")
+		}
+		return evicted
+	}
+	t.Run("before its reading ends", func(t *testing.T) {
+		c, in, out := acceptOne(t)
+		evicted := evict(t, c)
+		_, _ = fmt.Fprint(out, "GET")
+		if n, err := in.Read(make([]byte, 8)); n != 3 || err != nil {
+			t.Errorf("read %d bytes, %v", n, err)
+		}
+		evicted.endReading()
+		_, _ = fmt.Fprint(out, " /")
+		if n, err := in.Read(make([]byte, 8)); n != 2 || err != nil {
+			t.Errorf("of the rest of a request that is served %d bytes are read, %v", n, err)
+		}
+		if _, err := in.Write([]byte("answer")); err != nil {
+			t.Errorf("the answer is lost: %v", err)
+		}
+		if c.Open() != 1 {
+			t.Errorf("%d connections open, want 1", c.Open())
+		}
+	})
+	t.Run("after its reading ended", func(t *testing.T) {
+		c, in, out := acceptOne(t)
+		evict(t, c).endReading()
+		_, _ = fmt.Fprint(out, "GET")
+		_ = in.SetReadDeadline(time.Now().Add(time.Minute)) // As servers do.
+		if n, err := in.Read(make([]byte, 8)); n != 0 || err == nil {
+			t.Errorf("read %d bytes, %v", n, err)
+		}
+		if c.Open() != 0 {
+			t.Errorf("%d connections open, want none", c.Open())
+		}
+	})
 }
 
 // TestArrivedRequestKeepsConnection guards against requests that have arrived, are
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -304,8 +304,7 @@
 	ending, end := context.WithDeadline(context.Background(), phases.Exit)
 	defer end()
 	err := n.kernel.Stop(ending)
-	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(),
-		"dropped", n.callers.Dropped(), "error", errorText(drainErr))
+	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(), "error", errorText(drainErr))
 	return err
 }
 
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,8 +44,6 @@
 
 type server struct {
 	http.Server
-	// draining is set before the listener is closed while open requests go on.
-	draining atomic.Bool
 	listener net.Listener
 	// connections bounds the open connections.
 	connections *budget.Connections
@@ -86,11 +83,11 @@
 	for _, server := range s.all {
 		server.connections.Run(t, s.idleLimit)
 		t.Go(func() error {
-			err := server.Serve(server.listener)
-			if errors.Is(err, http.ErrServerClosed) || server.draining.Load() {
-				return nil
+			// A closed listener is that of a server that drains.
+			if err := server.Serve(server.listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
+				return err
 			}
-			return err
+			return nil
 		})
 	}
 	t.Go(func() error {
@@ -103,39 +100,17 @@
 	return nil
 }
 
-// drainInterval is the period at which the connections of a server that drains are
-// checked.
-const drainInterval = 20 * time.Millisecond
-
-// drain stops accepting connections from callers, closes those that become idle and
-// waits until none is left or ctx ends. Unlike http.Server.Shutdown it closes no
-// connection whose next request has arrived, and requests that are read meanwhile
-// are answered.
+// drain stops accepting connections from callers and waits until those that are open
+// have been closed or ctx ends.
 func (s *servers) drain(ctx context.Context) error {
+	var err error
 	for _, server := range s.all {
-		if server.callers && server.draining.CompareAndSwap(false, true) {
-			_ = server.listener.Close() // No new connections either way.
-		}
-	}
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	for {
-		open := 0
-		for _, server := range s.all {
-			if server.callers {
-				server.connections.CloseIdle(0)
-				open += server.connections.Open()
-			}
-		}
-		if open == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		if server.callers {
+			_ = server.listener.Close() // The second time it is closed already.
+			err = errors.CombineErrors(err, server.connections.Drain(ctx))
 		}
 	}
+	return err
 }
 
 // metricsHandler serves the process's metrics.
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -174,14 +174,15 @@
 func (s *Service) StopAdvertising() { s.draining.Store(true) }
 
 // Drain implements kernel.Drainer. The node serves requests until every
-// /v1/entries response that lists it has expired, then closes idle connections
-// and waits for requests in flight.
+// /v1/entries response that lists it has expired, then closes connections as they
+// become idle and waits until none is left.
 func (s *Service) Drain(ctx context.Context) error {
 	s.StopAdvertising()
 	if err := s.clock.Sleep(ctx, s.entryTTL()+time.Second); err != nil {
 		return err
 	}
-	return s.server.Shutdown(ctx)
+	_ = s.listener.Close() // Its server has not closed it before.
+	return s.connections.Drain(ctx)
 }
 
 func (s *Service) entryTTL() time.Duration {
--- a/pkg/listen/listen.go
+++ b/pkg/listen/listen.go
@@ -33,11 +33,11 @@
 const stopTimeout = time.Second
 
 // Serve runs the server under t until t is dying. Requests in flight then have
-// stopTimeout to finish; callers that must finish all requests shut the server
-// down before.
+// stopTimeout to finish; callers that must finish all requests close the listener and
+// drain its connections before.
 func Serve(t *tomb.Tomb, server *http.Server, listener net.Listener) {
 	t.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 			return err
 		}
 		return nil
