Planned stop: requests that would outlast the node are refused, not passed on

Callers saw requests accepted in time and then lost: after the accept phase a request could still wait for its body, an upstream or a further attempt, or ask the larger model, and be passed on shortly before the node aborted it. Nothing asked for its likely end.

While it leaves, it refuses at once what is likely to outlast it, and asks again before each send of a request whose answer has not begun: without a send the answer is a 503 with Retry-After, after one that failed the failure, with an answer of the smaller model that answer. Requests of unknown duration need an eighth of the time to the abort.

--- a/pkg/drain/stop.go
+++ b/pkg/drain/stop.go
@@ -17,6 +17,10 @@
 // another one; up to as much again is added at random.
 const minRetryDelay = 100 * time.Millisecond
 
+// unknownShare is the share of the time from the request for the stop to the abort that
+// a request of unknown duration is expected to take.
+const unknownShare = 0.125
+
 // RetryDelay returns the retry delay of a request that a leaving node refuses.
 func RetryDelay() time.Duration { return minRetryDelay + rand.N(minRetryDelay) }
 
@@ -65,6 +69,20 @@
 	return !leaving || now.Before(p.Refuse)
 }
 
+// MayEnd reports whether a request that is sent now and likely to take a time, zero if
+// that is not known, ends before open requests are aborted. It certainly ends by its
+// deadline.
+func (s *Stop) MayEnd(now time.Time, likely time.Duration, deadline time.Time) bool {
+	p, leaving := s.Phases()
+	if !leaving {
+		return true
+	}
+	if likely == 0 {
+		likely = time.Duration(unknownShare * float64(p.Abort.Sub(p.Requested)))
+	}
+	return !now.Add(likely).After(p.Abort) || !deadline.After(p.Abort)
+}
+
 // OnRefuse calls f when new requests are refused, unless release is called before.
 // release waits for f and reports whether it has not been called.
 func (s *Stop) OnRefuse(f func()) (release func() bool) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -46,6 +46,9 @@
 	if errors.As(err, &held) {
 		return failure{code: result.PromptQuarantined, reason: err.Error(), retryAfter: held.hold.Retry}
 	}
+	if errors.Is(err, errEndsLate) {
+		return failure{code: result.Draining, reason: err.Error(), retryAfter: drain.RetryDelay()}
+	}
 	return failure{code: result.NoRunner, reason: err.Error()}
 }
 
@@ -318,6 +321,9 @@
 	if f.sends >= f.route.MaxUpstreams {
 		return false
 	}
+	if outlasts := !f.begun && !f.mayEnd(); outlasts {
+		return false
+	}
 	if !s.opts.RetryBudget.Take(f.target, purpose) {
 		countDenied(purpose)
 		return false
@@ -334,7 +340,7 @@
 		f.aborted()
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.callerLeft()
-	case !f.mayHaveRun && fail.code == result.PromptQuarantined:
+	case !f.mayHaveRun && (fail.code == result.PromptQuarantined || fail.code == result.Draining):
 		f.refuse(fail.code, fail.retryAfter, fail.reason)
 	case !f.mayHaveRun:
 		f.refuse(result.NoRunner, f.retryAfter(now), fail.reason)
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -31,6 +31,9 @@
 		return nil, ctx.Err()
 	}
 	for ctx.Err() == nil {
+		if !f.begun && !f.mayEnd() {
+			return nil, errEndsLate
+		}
 		if hold := s.opts.Quarantine.Check(f.sharedParts); hold != nil {
 			return nil, heldError{hold}
 		}
--- a/pkg/relay/drain_test.go
+++ b/pkg/relay/drain_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"cassiapin/pkg/drain"
+	"cassiapin/pkg/result"
 	"cassiapin/pkg/topology"
 )
 
@@ -70,3 +72,62 @@
 		})
 	}
 }
+
+// TestLeavingNodeSendsOnlyWhatEnds guards against requests that a leaving node passes
+// on although they are likely to outlast it.
+func TestLeavingNodeSendsOnlyWhatEnds(t *testing.T) {
+	const grace = 8 * time.Second
+	unsure := changed(200, events(1, 2), func(a *Answer) { a.Confidence = 0 })
+	for _, tc := range []struct {
+		name, path string
+		// since is the time since the request for the stop, took what requests of the
+		// route took before, timeout the route's.
+		since, took, timeout time.Duration
+		a, b                 func(context.Context, *Send) (*Answer, error)
+		cascade              bool
+		sends                string
+		status               int
+	}{
+		{name: "short", path: "/booking/1", since: 2 * time.Second, took: time.Second, a: answers(200, "ok"), sends: "a", status: 200},
+		{name: "long", path: "/once/1", since: 2 * time.Second, took: 6 * time.Second, a: answers(200, "ok"), sends: "", status: 503},
+		{name: "long, bounded by its timeout", path: "/booking/1", since: 2 * time.Second, took: time.Minute, timeout: 4 * time.Second, a: answers(200, "ok"), sends: "a", status: 200},
+		{name: "second attempt", path: "/lookup/1", since: 6400 * time.Millisecond, took: 700 * time.Millisecond, a: lateFailure, b: answers(200, "ok"), sends: "a", status: 500},
+		{name: "second attempt in time", path: "/lookup/1", since: 5 * time.Second, took: 700 * time.Millisecond, a: lateFailure, b: answers(200, "ok"), sends: "a b", status: 200},
+		{name: "larger model", path: "/draft/1", since: 6800 * time.Millisecond, took: 450 * time.Millisecond, a: lateAnswer(unsure), b: unsure, cascade: true, sends: "a", status: 200},
+		{name: "larger model in time", path: "/draft/1", since: 5 * time.Second, took: 450 * time.Millisecond, a: unsure, b: unsure, cascade: true, sends: "a a", status: 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			svc := newTestService(t)
+			svc.client.scripts["a"], svc.client.scripts["b"] = tc.a, tc.b
+			for _, r := range svc.config.Routes {
+				r.Timeout, r.TargetLatency = cmp.Or(tc.timeout, time.Minute), 4*time.Second
+				for range 4 {
+					svc.durations.Record(r.Name, tc.took)
+				}
+			}
+			svc.stopping(grace, tc.since)
+			resp := svc.run(tc.path, func(r *Request) { r.Timeout, r.Cascade = time.Minute, tc.cascade })
+			status := resp.status
+			if resp.refusal != nil {
+				status = resp.refusal.Status
+			}
+			if status != tc.status || svc.client.upstreams() != tc.sends {
+				t.Errorf("status %d with sends %q, want %d with %q", status, svc.client.upstreams(), tc.status, tc.sends)
+			}
+			if status == http.StatusServiceUnavailable && (resp.refusal.Code != result.Draining || resp.refusal.RetryAfter <= 0) {
+				t.Errorf("refused with %d, Retry-After %v", resp.refusal.Code, resp.refusal.RetryAfter)
+			}
+		})
+	}
+}
+
+// lateAnswer makes an upstream answer after 300 ms.
+func lateAnswer(answer func(context.Context, *Send) (*Answer, error)) func(context.Context, *Send) (*Answer, error) {
+	return func(ctx context.Context, s *Send) (*Answer, error) {
+		time.Sleep(300 * time.Millisecond)
+		return answer(ctx, s)
+	}
+}
+
+// lateFailure is an upstream's failure after 300 ms.
+var lateFailure = lateAnswer(answers(500, "no"))
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cassiapin/pkg/budget"
 	"cassiapin/pkg/canary"
 	"cassiapin/pkg/cascade"
@@ -79,11 +81,13 @@
 	clock clock.Clock
 	log   *slog.Logger
 	open  atomic.Int64
+	// durations tells a leaving node which requests it can still end.
+	durations *drain.Durations
 }
 
 // New returns a service.
 func New(o Options) *Service {
-	return &Service{opts: o}
+	return &Service{opts: o, durations: drain.NewDurations()}
 }
 
 // Name implements kernel.Service.
@@ -192,12 +196,29 @@
 		timeout = min(timeout, f.route.Timeout)
 	}
 	f.deadline = r.Received.Add(timeout)
+	if !f.mayEnd() {
+		f.refuse(result.Draining, drain.RetryDelay(), errEndsLate.Error())
+		return false
+	}
 	f.target = pickService(f.route.Targets, rand.Float64())
 	f.delivered = r.LastEventID
 	f.service.opts.RetryBudget.CountRequest(f.target)
 	return true
 }
 
+// errEndsLate is returned for requests that a leaving node could not answer before it
+// ends.
+var errEndsLate = errors.New("the node is leaving and the request is likely to outlast it")
+
+// mayEnd reports whether the request, sent now, is likely to end before the node does.
+func (f *flow) mayEnd() bool {
+	s := f.service
+	if _, leaving := s.opts.Stop.Phases(); !leaving {
+		return true
+	}
+	return s.opts.Stop.MayEnd(s.clock.Now(), s.durations.Likely(f.route.Name), f.deadline)
+}
+
 // resolve looks up the route and the organisation in the newest configuration. It
 // returns the code and the reason of a denial, or zero.
 func (f *flow) resolve() (denial result.Code, reason string) {
@@ -358,6 +379,7 @@
 func (f *flow) done(status int) {
 	f.countOutcome(outcomeAnswered)
 	f.countFirstByte(f.firstByte)
+	f.service.durations.Record(f.route.Name, f.elapsed())
 	f.service.log.Info(eventlog.RequestDone, f.attrs("status", status, "sends", f.sends, "upstream", f.lastUpstreamID(),
 		"model", f.model, "first_ms", f.firstByte.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds())...)
 }
