An attempt at a silent upstream is given up only for one that may be sent

Callers saw streams break off and requests fail with 502 because their upstream was silent for 1.2 s or twice the latency objective, although it answered later and the deadline was far: the attempt was cancelled first, and then the retry budget refused the next one.

The watchdog and the limit of requests with one answer now reserve the next send, from the budget and for an upstream that has not been tried, before they cancel; until then they keep waiting.

TestSilentStreamIsGivenUp and TestSilentLookupIsGivenUp (real processes; without a stop, beside one and in the process that follows) failed before in all their cases:

given up before its deadline: silent-in-the-middle, ended after 1.222 s: status 200, body "id: 1...", error unexpected EOF

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -324,6 +324,9 @@
 	if outlasts := !f.begun && !f.mayEnd(); outlasts {
 		return false
 	}
+	if purpose == limits.Recovery && f.reserved.Swap(false) {
+		return true
+	}
 	if !s.opts.RetryBudget.Take(f.target, purpose) {
 		countDenied(purpose)
 		return false
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -88,7 +88,11 @@
 
 // allowed reports whether the view allows the upstream to get the request.
 func (f *flow) allowed(u *topology.Upstream, assignment *canary.Assignment) bool {
-	return !u.Draining && !f.view.Evacuated[u.FailureDomain] && assignment.Permits(u.Release) && f.inRegions(u.Region)
+	return f.allowedIn(f.view, u, assignment)
+}
+
+func (f *flow) allowedIn(view *topology.View, u *topology.Upstream, assignment *canary.Assignment) bool {
+	return !u.Draining && !view.Evacuated[u.FailureDomain] && assignment.Permits(u.Release) && f.inRegions(u.Region)
 }
 
 // mayStillSend reports whether an upstream that was chosen may still get the
@@ -117,6 +121,7 @@
 	assignment := s.opts.Canary.Assign(f.target, f.request.Session, now)
 	for {
 		u := f.chooseAssigned(model, now, assignment)
+		f.assignment = assignment
 		if u != nil || !assignment.HasFallback() {
 			return u
 		}
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -142,9 +142,13 @@
 	deadline     time.Time
 	// sends counts the attempts that reached an upstream; mayHaveRun is set
 	// once one of them may have run the request.
-	sends        int
-	mayHaveRun   bool
-	tried        map[topology.Incarnation]bool
+	sends      int
+	mayHaveRun bool
+	tried      map[topology.Incarnation]bool
+	// assignment is that of the latest choice; reserved is set while the retry budget
+	// has counted the next send ahead of it.
+	assignment   *canary.Assignment
+	reserved     atomic.Bool
 	lastUpstream *topology.Upstream
 	// sentAt is the start of the latest send, answeredAt that of its answer and
 	// progressedAt the time of its latest event, zero before; firstFailed is the first
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -94,12 +94,24 @@
 	return a.answer, body, failure{}
 }
 
-// limitAttempt cancels an attempt that exceeds the time allowed for one upstream.
-// timedOut reports whether it has done so.
+// limitAttempt cancels an attempt that exceeds the time allowed for one upstream, once
+// the request may be sent to another. timedOut reports whether it has done so.
 func (f *flow) limitAttempt(ctx context.Context, cancel context.CancelFunc, u *topology.Upstream) (timedOut func() bool) {
 	if !f.route.Retryable() || f.sends+1 >= f.route.MaxUpstreams || f.route.TargetLatency <= 0 {
 		return func() bool { return false }
 	}
-	timer := time.AfterFunc(unaryTimeoutFactor*f.route.TargetLatency, cancel)
-	return func() bool { return !timer.Stop() && ctx.Err() != nil }
+	replacement := f.replacementOf(u)
+	var expired atomic.Bool
+	go func() {
+		wait := unaryTimeoutFactor * f.route.TargetLatency
+		for f.service.clock.Sleep(ctx, wait) == nil {
+			if replacement.reserve() {
+				expired.Store(true)
+				cancel()
+				return
+			}
+			wait = watchdogInterval
+		}
+	}()
+	return expired.Load
 }
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -30,20 +30,22 @@
 	watchdogInterval = 100 * time.Millisecond
 )
 
-// watchdog cancels a stream attempt whose upstream has stalled, if the stream
-// may be resumed at another upstream.
+// watchdog cancels a stream attempt whose upstream has stalled, once the stream may be
+// resumed at another upstream.
 type watchdog struct {
 	flow     *flow
 	upstream *topology.Upstream
-	events   chan struct{}
-	done     chan struct{}
-	expired  chan struct{}
+	// replacement is what the attempt gives way to.
+	replacement replacement
+	events      chan struct{}
+	done        chan struct{}
+	expired     chan struct{}
 }
 
 // startWatchdog starts the watchdog of an attempt. The last attempt of a request
 // has none, as a late answer is better than none.
 func (f *flow) startWatchdog(ctx context.Context, cancel context.CancelFunc, u *topology.Upstream) *watchdog {
-	w := &watchdog{flow: f, upstream: u, events: make(chan struct{}, 1), done: make(chan struct{}), expired: make(chan struct{})}
+	w := &watchdog{flow: f, upstream: u, replacement: f.replacementOf(u), events: make(chan struct{}, 1), done: make(chan struct{}), expired: make(chan struct{})}
 	if f.route.Retryable() && f.sends+1 < f.route.MaxUpstreams {
 		go w.run(ctx, cancel)
 	}
@@ -71,7 +73,7 @@
 			probedAt = now
 			dead = !w.probe(ctx)
 		}
-		if dead || now.Sub(lastEvent) > timeout {
+		if (dead || now.Sub(lastEvent) > timeout) && w.replacement.reserve() {
 			close(w.expired)
 			cancel()
 			return
