Planned stop: removals of the node's entry back off while the store is away

A leaving node repeated the removal of its entry every 0.5 s for up to 7 s, a read and a delete each, at the same pace on all nodes. The pause now doubles up to 2 s and varies by a half.

--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -41,8 +41,11 @@
 	// registerTimeout bounds the first attempt to register, which delays the
 	// node's start: other nodes accept its messages only once it is registered.
 	registerTimeout = 500 * time.Millisecond
-	// registerRetry is the pause between attempts.
+	// registerRetry is the pause between attempts to register, and between the first two
+	// to remove the entry; later ones double up to maxLeaveRetry, with a random half more
+	// or less, so that nodes that leave together do not keep a slow store busy.
 	registerRetry = 500 * time.Millisecond
+	maxLeaveRetry = 2 * time.Second
 	// listTimeout bounds a list, which a handshake may wait for.
 	listTimeout = time.Second
 	// listPause is the shortest time between two lists, so that repeated
@@ -138,11 +141,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for !r.removeEntry(ctx) {
+		for pause := registerRetry; !r.removeEntry(ctx); pause = min(2*pause, maxLeaveRetry) {
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(registerRetry):
+			case <-time.After(pause/2 + rand.N(pause)):
 			}
 		}
 	}()
