Upstream client: a service's status above 599 is no answer

Callers of plain HTTP services got answers whose status HTTP does not define. Statuses below 200 were refused before, those above 599 were passed on.

Before the change (go test -race):

--- FAIL: TestInvalidStatusTakenForAnswer service, status 600: an answer with status 600 service, status 999: an answer with status 999

Both are now the failure of an answer without a final status; the connection is closed.

Completions and streams took only a 200 before. TestResetAnswerTakenForWhole passed before too: the transport has the same fault as that of runners, but a completion that is cut does not parse, a stream needs its marker, and the answer of a service needs a length or chunks.

--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -58,11 +58,12 @@
 	}
 	defer x.close()
 	// Without a content length, chunked encoding or a final status, a
-	// truncated response cannot be detected.
+	// truncated response cannot be detected. net/http also passes on statuses
+	// that HTTP does not define.
 	r := x.response
 	framed := r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked") ||
 		call.Method == http.MethodHead
-	if r.StatusCode < http.StatusOK || !framed {
+	if r.StatusCode < http.StatusOK || r.StatusCode > 599 || !framed {
 		return ServiceResponse{}, c.countFailure(classify(x.ctx, errUnframed, result.Ran), o)
 	}
 	body, failure := x.readAll()
