Object API client: a status that HTTP does not define is no answer

A write whose answer had the status 000 was reported as an internal error that did not run, without a read-back and without another try, although it may have been applied; and the platform counted as available. A 101 with an Upgrade header would have stalled the call: its body is the connection and does not end with the call's timeout (this follows from net/http; it was not run before the change).

Before the change (go test -race):

--- FAIL: TestInvalidStatusTakenForAnswer 000: create: 602 internal: the platform answered 0 for "a/1" the platform counts as available get: 602 internal, list: 602 internal 099, 101: the same

Such a status is now a call without a valid answer, as a 5xx is: writes are read back, reads are repeated at the next address. It is checked before the body is read.

TestResetListTakenForWhole passed before too: a list that is cut does not decode. A get and a write send no long body before the answer; the body of a write's answer is not used.

--- a/pkg/objectstore/call.go
+++ b/pkg/objectstore/call.go
@@ -152,6 +152,11 @@
 		return response{}, err
 	}
 	defer res.Body.Close()
+	// net/http passes on any three digits. The body of a 101 is the connection, which
+	// does not end with the request's context.
+	if res.StatusCode < http.StatusOK || res.StatusCode > 599 {
+		return response{}, errors.Newf("status %03d is no answer", res.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		return response{}, errors.Wrap(err, "read response")
