Upstream client: a 101 that nobody asked for ends the call

A completion or stream whose engine answered 101 with an Upgrade header never ended, and held its connection: the rest of a refused answer is drained, and the body of a 101 is the connection itself, which the watchdog's cancellation does not end.

Before the change (go test -race):

--- FAIL: TestSwitchedProtocolStallsCall (10.01s) the call does not end

An answer without a final status is now closed without being drained.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -133,8 +133,13 @@
 	drainTimeout  = 100 * time.Millisecond
 )
 
-// finish drains a complete response, so that the connection can be reused.
+// finish drains a complete response, so that the connection can be reused. The body
+// of a 101 is the connection, which does not end with the context.
 func (x *exchange) finish() {
+	if x.response.StatusCode < http.StatusOK {
+		x.close()
+		return
+	}
 	x.watchdog.progress(drainTimeout)
 	x.body.readTimeout = drainTimeout
 	_, _ = io.CopyN(io.Discard, x.body, maxDrainBytes)
--- a/pkg/upstream/status_test.go
+++ b/pkg/upstream/status_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"cassiapin/pkg/config"
 	"cassiapin/pkg/result"
@@ -66,6 +67,28 @@
 	}
 }
 
+// TestSwitchedProtocolStallsCall sends a 101 that nobody asked for and stays silent.
+func TestSwitchedProtocolStallsCall(t *testing.T) {
+	head := "HTTP/1.1 101 Odd\r\n" + HeaderAttempt + ": ATTEMPT\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+	url := startRaw(t, head, true, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	c := newTestClient(t)
+	ended := make(chan error, 2)
+	go func() {
+		_, err := c.Complete(t.Context(), testCall(url))
+		ended <- err
+		_, err = c.Stream(t.Context(), testCall(url))
+		ended <- err
+	}()
+	for range 2 {
+		select {
+		case err := <-ended:
+			expectFailure(t, err, result.UpstreamError, result.Ran)
+		case <-time.After(10 * time.Second):
+			t.Fatal("the call does not end")
+		}
+	}
+}
+
 // TestResetAnswerTakenForWhole resets answers without a length during the upload.
 func TestResetAnswerTakenForWhole(t *testing.T) {
 	reset := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
