Outcomes of services: a status that HTTP does not define is no outcome

A service that reports an attempt's outcome with the status 0, or without a status, had that kept as the answer to the request's key. net/http panics on such a status when the answer is written, so each repetition of the request would have lost its connection (read in the source; the test covers the resolver only).

Before the change (go test -race):

--- FAIL: TestOutcomeWithoutStatusTakenForAnswer {}: &{Status:0 ...}, <nil> {"status":0}, {"status":99}, {"status":101}, {"status":600}: the same way

The outcome then counts as one that the service cannot tell.

--- a/pkg/node/resolver.go
+++ b/pkg/node/resolver.go
@@ -84,7 +84,8 @@
 	}
 	var a attemptOutcome
 	if response.StatusCode != http.StatusOK ||
-		json.NewDecoder(io.LimitReader(response.Body, maxOutcomeBytes)).Decode(&a) != nil {
+		json.NewDecoder(io.LimitReader(response.Body, maxOutcomeBytes)).Decode(&a) != nil ||
+		a.Status < http.StatusOK || a.Status > 599 {
 		return nil, result.New(result.UpstreamError, "the service cannot tell the outcome")
 	}
 	return &idempotency.Outcome{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
