--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -82,6 +82,9 @@
 		case errors.Is(err, ErrHistoryLost):
 			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", f.from)
 			f.listed = false
+		case errors.Is(err, ErrTooManyChanges) && f.listed:
+			s.log.Warn(eventlog.TooManyChanges, "kind", kind.String(), "revision", f.from)
+			f.listed = false
 		default:
 			f.recordFailure(err, start)
 			if !f.queryPeer(ctx) {
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -63,6 +63,10 @@
 // ErrHistoryLost is returned by a watch whose start revision has been compacted.
 var ErrHistoryLost = errors.New("store no longer keeps the requested changes")
 
+// ErrTooManyChanges is returned by a watch whose answer exceeds the size that a node
+// reads. The same watch would only grow; a list has pages.
+var ErrTooManyChanges = errors.New("the changes exceed the size of an answer")
+
 // Store reads the platform's objects. Reads are linearizable.
 type Store interface {
 	// List returns all objects of a kind and the revision to watch from.
--- a/pkg/storeview/service_test.go
+++ b/pkg/storeview/service_test.go
@@ -24,8 +24,10 @@
 	others       topology.Revision
 	changed      chan struct{}
 	watchStalled bool
-	unavailable  bool
-	calls        int
+	// answerLimit is the most changes in an answer, zero is no limit.
+	answerLimit int
+	unavailable bool
+	calls       int
 	// copies counts the configurations in answers.
 	copies atomic.Int64
 }
@@ -76,6 +78,9 @@
 			for v := after + 1; v <= version; v++ {
 				changes = append(changes, Change{Object: Object{Name: object.Name, Revision: v}})
 			}
+			if limit := f.answerLimit; limit > 0 && len(changes) > limit {
+				return nil, 0, ErrTooManyChanges
+			}
 			f.copies.Add(int64(len(changes)))
 			return changes, revision, nil
 		}
@@ -190,3 +195,17 @@
 		t.Errorf("%d calls in %s, want at most %d", store.calls-before, span, most)
 	}
 }
+
+// TestChangesExceedAnswer guards against a kind that stands still because the answer
+// with its changes is too large to be read.
+func TestChangesExceedAnswer(t *testing.T) {
+	store := newFakeStore()
+	store.answerLimit = 3
+	s := start(t, store)
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(50 * time.Millisecond) // Lets the watch begin to wait.
+	store.set(func() { store.version = 7 })
+	waitFor(t, s, 7, effectiveIn)
+	store.set(func() { store.version = 9 })
+	waitFor(t, s, 9, effectiveIn)
+}
