--- /dev/null
+++ b/test/stop/harness_test.go
@@ -0,0 +1,428 @@
+// Package stop checks the promises of a planned stop with real processes: callers and
+// runners see on their connections what a node does from SIGTERM to its end.
+package stop
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cassiapin/platform/platformtest"
+)
+
+// binary is the path of the program, built with the race detector.
+var binary string
+
+func TestMain(m *testing.M) {
+	code, err := run(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stop:", err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func run(m *testing.M) (int, error) {
+	folder, err := os.MkdirTemp("", "cassiapin-stop-")
+	if err != nil {
+		return 1, err
+	}
+	defer os.RemoveAll(folder)
+	// The go command caches a test's result unless a file that the test accessed has
+	// changed.
+	for _, sources := range []string{"../../cmd", "../../pkg", "../../platform"} {
+		err := filepath.WalkDir(sources, func(path string, _ fs.DirEntry, err error) error {
+			if err == nil {
+				_, err = os.Stat(path)
+			}
+			return err
+		})
+		if err != nil {
+			return 1, err
+		}
+	}
+	binary = filepath.Join(folder, "cassiapin")
+	build := exec.Command("go", "build", "-race", "-o", binary, "cassiapin/cmd/cassiapin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1, fmt.Errorf("build the program: %w", err)
+	}
+	// The cases wait most of the time, whatever the number of processors.
+	flag.Parse()
+	if err := flag.Set("test.parallel", "16"); err != nil {
+		return 1, err
+	}
+	return m.Run(), nil
+}
+
+const (
+	// margin is the least distance of a request or an event from a bound of the rule.
+	margin = 100 * time.Millisecond
+	// callerTimeout is how long callers wait, longer than any grace period here.
+	callerTimeout = 30 * time.Second
+	// accepting and lastPart are the rule's parts of the grace period: until when
+	// requests are owed an answer, and from when on work of a runner is excused.
+	accepting = 3. / 8
+	lastPart  = 5. / 6
+)
+
+// share returns a part of a grace period.
+func share(grace time.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(grace))
+}
+
+// fields are those of an object in the store.
+type fields map[string]any
+
+// site is a store, its configuration and runners.
+type site struct {
+	t                *testing.T
+	store            *platformtest.Store
+	routes, services []fields
+
+	mu sync.Mutex
+	// runs counts the runs of each request.
+	runs map[string]int
+}
+
+func newSite(t *testing.T) *site {
+	t.Parallel()
+	s := &site{t: t, store: platformtest.NewStore(t), runs: map[string]int{}}
+	s.route("now", "unsafe", fields{})
+	s.runner("now", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get("Request-Id")) })
+	return s
+}
+
+// route adds a route to a service of the same name.
+func (s *site) route(name, kind string, more fields) {
+	r := fields{
+		"name": name, "host": platformtest.Host, "path-prefix": "/" + name + "/", "kind": kind, "service": name, "attempts": 3,
+		"timeout-ms": callerTimeout.Milliseconds(), "target-latency-ms": 80_000, "gap-target-ms": 500,
+	}
+	maps.Copy(r, more)
+	s.routes = append(s.routes, r)
+	s.services = append(s.services, fields{"name": name, "max-connections": 1000})
+	s.store.Put("config", "main", fields{
+		"version": len(s.routes), "routes": s.routes, "services": s.services,
+		"tenants": []fields{{"name": "studio", "api-keys": []string{"key"}}},
+	})
+}
+
+var runners atomic.Int64
+
+// runner starts a runner of a service. What has Not-Executed has not run.
+func (s *site) runner(service string, answer http.HandlerFunc) {
+	id := fmt.Sprint("i-", runners.Add(1))
+	address := platformtest.Runner(s.t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/report" {
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if r.Header.Get("Expected-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.count(r.Header.Get("Request-Id"), 1)
+		_, _ = io.Copy(io.Discard, r.Body) // The server notices the end of the connection afterwards.
+		w.Header().Set("Response-Stamp", "signed")
+		answer(w, r)
+		if w.Header().Get("Not-Executed") != "" {
+			s.count(r.Header.Get("Request-Id"), -1)
+		}
+	})
+	s.store.Put("servers", id, fields{
+		"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 500, "state": "ready", "sequence": 1, "born": 1,
+	})
+}
+
+func (s *site) count(id string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id] += n
+}
+
+// ran returns how often a request ran.
+func (s *site) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// silent answers nothing as long as the connection lasts.
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// event writes one event of a stream.
+func event(w http.ResponseWriter, id int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// pause waits, unless the connection ends first.
+func pause(ctx context.Context, d time.Duration) (ended bool) {
+	select {
+	case <-time.After(d):
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// host is a node's settings; its processes follow each other.
+type host struct {
+	site                 *site
+	grace                time.Duration
+	entry, ready, folder string
+}
+
+var hosts atomic.Int64
+
+// newHost returns a host with an address of its own and bounds changed by pairs of
+// old and new settings.
+func (s *site) newHost(grace time.Duration, changes ...string) *host {
+	s.t.Helper()
+	index := hosts.Add(1)
+	ip := fmt.Sprintf("127.0.%d.%d", 60+index/200, 10+index%200)
+	ports := platformtest.FreePorts(s.t, ip, 5)
+	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
+	h := &host{site: s, grace: grace, entry: address(0), ready: address(1), folder: s.t.TempDir()}
+	settings := platformtest.Node{
+		Host: fmt.Sprint("host-", index), Domain: "z1", IP: ip, Entry: h.entry, Ready: h.ready, Directory: address(2),
+		PeerPort: ports[3], MetricsPort: ports[4], Store: s.store.Address, Seeds: "[]",
+	}.Settings()
+	changes = append(changes, `grace = "2s"`, fmt.Sprintf("grace = %q", grace))
+	text := strings.NewReplacer(changes...).Replace(string(settings))
+	if err := os.WriteFile(h.file(), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return h
+}
+
+func (h *host) file() string { return filepath.Join(h.folder, "node.toml") }
+
+// process is a running node.
+type process struct {
+	*host
+	cmd *exec.Cmd
+	// terminated is when SIGTERM had been sent, exited is closed at the end.
+	terminated time.Time
+	exited     chan struct{}
+	mu         sync.Mutex
+	log        bytes.Buffer
+}
+
+// Write adds the output of the process to its log.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+// start starts a process without waiting for it.
+func (h *host) start() *process {
+	t := h.site.t
+	t.Helper()
+	p := &process{host: h, exited: make(chan struct{})}
+	p.cmd = exec.Command(binary, "route", "--settings", h.file())
+	// The race detector otherwise waits for a second at the end.
+	p.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait() // awaitExit looks at its state.
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // It may have exited.
+		<-p.exited
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, sign := range []string{"WARNING: DATA RACE", "panic:", "fatal error:"} {
+			if i := strings.Index(p.log.String(), sign); i >= 0 {
+				t.Errorf("%.4000s", p.log.String()[i:])
+			}
+		}
+		if folder := os.Getenv("CASSIAPIN_STOP_LOGS"); folder != "" && t.Failed() {
+			name := strings.ReplaceAll(t.Name(), "/", "-") + "-" + filepath.Base(h.entry) + ".log"
+			if err := os.WriteFile(filepath.Join(folder, name), p.log.Bytes(), 0o600); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return p
+}
+
+// run starts a process and waits until it is ready.
+func (h *host) run() *process {
+	h.site.t.Helper()
+	p := h.start()
+	client := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if response, err := client.Get("http://" + h.ready + "/-/readiness"); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return p
+			}
+		}
+	}
+	h.site.t.Fatal("the node is not ready 20 s after its start")
+	return nil
+}
+
+func (p *process) signal(signals ...syscall.Signal) {
+	for _, s := range signals {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			p.site.t.Error(err)
+		}
+		if s == syscall.SIGTERM && p.terminated.IsZero() {
+			p.terminated = time.Now()
+		}
+	}
+}
+
+// freeze stops the process for a time.
+func (p *process) freeze(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+}
+
+// since returns the time since SIGTERM.
+func (p *process) since() time.Duration { return time.Since(p.terminated) }
+
+// sleepUntil waits until a time after SIGTERM.
+func (p *process) sleepUntil(d time.Duration) { time.Sleep(time.Until(p.terminated.Add(d))) }
+
+// awaitExit checks that the process ends with 0 within the grace period.
+func (p *process) awaitExit() {
+	p.site.t.Helper()
+	select {
+	case <-p.exited:
+		if !p.cmd.ProcessState.Success() {
+			p.site.t.Errorf("the process ended with %v", p.cmd.ProcessState)
+		}
+	case <-time.After(time.Until(p.terminated.Add(p.grace))):
+		p.site.t.Errorf("the process is still running %v after SIGTERM", p.grace)
+	}
+}
+
+// connection is that of a caller.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (h *host) dial() (*connection, error) {
+	c, err := net.DialTimeout("tcp", h.entry, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(callerTimeout))
+	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
+}
+
+// keep returns a connection on which a request has been answered.
+func (h *host) keep() *connection {
+	h.site.t.Helper()
+	c, err := h.dial()
+	if err != nil {
+		h.site.t.Fatal(err)
+	}
+	if o := c.exchange(request("now", "kept")); o.status != http.StatusOK || o.err != nil {
+		h.site.t.Fatalf("before the stop: %+v", o)
+	}
+	return c
+}
+
+// request returns a request with a body of four bytes and more header lines.
+func request(route, id string, lines ...string) string {
+	out := platformtest.RawRequest("/"+route+"/1", id, callerTimeout)
+	return strings.Replace(out, "Content-Length:", strings.Join(append(lines, "Content-Length:"), "\r\n"), 1)
+}
+
+// outcome is what a caller saw of a request.
+type outcome struct {
+	id string
+	// sent and ended count from SIGTERM.
+	sent, ended time.Duration
+	status      int
+	retryAfter  string
+	body        string
+	// err is set if there is no complete answer.
+	err error
+}
+
+// exchange sends a request and reads the answer.
+func (c *connection) exchange(request string) (o outcome) {
+	if _, o.err = io.WriteString(c, request); o.err != nil {
+		return o
+	}
+	return c.read()
+}
+
+func (c *connection) read() (o outcome) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return outcome{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(body), err: err}
+}
+
+// send sends a request on a connection, or on a new one if it is nil.
+func (p *process) send(c *connection, route, id string) (o outcome) {
+	sent := p.since()
+	var err error
+	if c == nil {
+		c, err = p.dial()
+	}
+	if err != nil {
+		o = outcome{err: err}
+	} else {
+		defer c.Close()
+		sent = p.since()
+		o = c.exchange(request(route, id))
+	}
+	o.id, o.sent, o.ended = id, sent, p.since()
+	return o
+}
+
+// refused reports whether the answer promises that the request never runs, truthfully.
+func (s *site) refused(o outcome) bool {
+	return o.err == nil && o.status == http.StatusServiceUnavailable && o.retryAfter != "" && s.ran(o.id) == 0
+}
+
+// failed reports whether the answer is an error that promises nothing.
+func (s *site) failed(o outcome) bool {
+	return o.err == nil && (o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout)
+}
+
+// unread reports whether the connection ended without any answer and the request did
+// not run.
+func (s *site) unread(o outcome) bool { return o.err != nil && o.status == 0 && s.ran(o.id) == 0 }
+
+func (o outcome) String() string {
+	return fmt.Sprintf("%s, sent at %.3f s and ended at %.3f s after SIGTERM: status %d, Retry-After %q, body %.60q, error %v",
+		o.id, o.sent.Seconds(), o.ended.Seconds(), o.status, o.retryAfter, o.body, o.err)
+}
