--- a/test/stop/abort_test.go
+++ b/test/stop/abort_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -85,9 +86,18 @@
 	}
 	time.Sleep(3 * margin) // The node has read them.
 	p.signal(syscall.SIGTERM)
+	outcomes := make([]outcome, len(rows))
+	var all sync.WaitGroup
 	for i, r := range rows {
-		o := connections[i].read()
-		o.id, o.ended = r.name, p.since()
+		all.Go(func() {
+			o := connections[i].read()
+			o.id, o.ended = r.name, p.since()
+			outcomes[i] = o
+		})
+	}
+	all.Wait()
+	for i, r := range rows {
+		o := outcomes[i]
 		if ran := s.ran(r.name) > 0; ran != r.ran {
 			t.Errorf("ran: %v: %v", ran, o)
 		}
--- a/test/stop/harness_test.go
+++ b/test/stop/harness_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -97,13 +98,14 @@
 	routes, services []fields
 
 	mu sync.Mutex
-	// runs counts the runs of each request.
-	runs map[string]int
+	// runs counts the runs of each request, arrived is when a runner last got it.
+	runs    map[string]int
+	arrived map[string]time.Time
 }
 
 func newSite(t *testing.T) *site {
 	t.Parallel()
-	s := &site{t: t, store: platformtest.NewStore(t), runs: map[string]int{}}
+	s := &site{t: t, store: platformtest.NewStore(t), runs: map[string]int{}, arrived: map[string]time.Time{}}
 	s.route("now", "unsafe", fields{})
 	s.runner("now", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get("Request-Id")) })
 	return s
@@ -128,10 +130,15 @@
 
 // runner starts a runner of a service. What has Not-Executed has not run.
 func (s *site) runner(service string, answer http.HandlerFunc) {
+	s.probedRunner(service, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }, answer)
+}
+
+// probedRunner starts a runner that answers probes with report.
+func (s *site) probedRunner(service string, report, answer http.HandlerFunc) {
 	id := fmt.Sprint("i-", runners.Add(1))
 	address := platformtest.Runner(s.t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/report" {
-			_, _ = io.WriteString(w, "{}")
+			report(w, r)
 			return
 		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
@@ -156,6 +163,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[id] += n
+	if n > 0 {
+		s.arrived[id] = time.Now()
+	}
+}
+
+// lastArrival returns when a runner last got a request, zero for never.
+func (s *site) lastArrival(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrived[id]
 }
 
 // ran returns how often a request ran.
@@ -221,11 +238,12 @@
 type process struct {
 	*host
 	cmd *exec.Cmd
-	// terminated is when SIGTERM had been sent, exited is closed at the end.
-	terminated time.Time
-	exited     chan struct{}
-	mu         sync.Mutex
-	log        bytes.Buffer
+	// terminated is when SIGTERM had been sent, ended when the process ended; exited
+	// is closed then.
+	terminated, ended time.Time
+	exited            chan struct{}
+	mu                sync.Mutex
+	log               bytes.Buffer
 }
 
 // Write adds the output of the process to its log.
@@ -250,6 +268,7 @@
 	}
 	go func() {
 		_ = p.cmd.Wait() // awaitExit looks at its state.
+		p.ended = time.Now()
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
@@ -318,11 +337,12 @@
 	p.site.t.Helper()
 	select {
 	case <-p.exited:
-		if !p.cmd.ProcessState.Success() {
-			p.site.t.Errorf("the process ended with %v", p.cmd.ProcessState)
-		}
-	case <-time.After(time.Until(p.terminated.Add(p.grace))):
+	case <-time.After(time.Until(p.terminated.Add(p.grace + margin))):
 		p.site.t.Errorf("the process is still running %v after SIGTERM", p.grace)
+		return
+	}
+	if took := p.ended.Sub(p.terminated); took > p.grace || !p.cmd.ProcessState.Success() {
+		p.site.t.Errorf("the process ended %v after SIGTERM: %v", took, p.cmd.ProcessState)
 	}
 }
 
@@ -330,6 +350,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// begun is the part of the next request that has been sent.
+	begun string
 }
 
 func (h *host) dial() (*connection, error) {
@@ -368,13 +390,15 @@
 	status      int
 	retryAfter  string
 	body        string
-	// err is set if there is no complete answer.
-	err error
+	// err is set if there is no complete answer, dropped if there is none at all though
+	// the process has read the request.
+	err     error
+	dropped bool
 }
 
 // exchange sends a request and reads the answer.
 func (c *connection) exchange(request string) (o outcome) {
-	if _, o.err = io.WriteString(c, request); o.err != nil {
+	if _, o.err = io.WriteString(c, strings.TrimPrefix(request, c.begun)); o.err != nil {
 		return o
 	}
 	return c.read()
@@ -383,13 +407,29 @@
 func (c *connection) read() (o outcome) {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return outcome{err: err}
+		return outcome{err: err, dropped: c.dropped(err)}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	return outcome{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(body), err: err}
 }
 
+// dropped reports whether the process had read what was sent when it closed the
+// connection: the system resets connections that are closed with unread bytes, or get
+// bytes after the end.
+func (c *connection) dropped(err error) bool {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return false
+	}
+	time.Sleep(margin) // The reset may follow the end.
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	state := 0
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { state, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	}
+	return err == nil && state == 0
+}
+
 // send sends a request on a connection, or on a new one if it is nil.
 func (p *process) send(c *connection, route, id string) (o outcome) {
 	sent := p.since()
@@ -418,11 +458,12 @@
 	return o.err == nil && (o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout)
 }
 
-// unread reports whether the connection ended without any answer and the request did
-// not run.
-func (s *site) unread(o outcome) bool { return o.err != nil && o.status == 0 && s.ran(o.id) == 0 }
+// unread reports whether the connection ended before the process read the request.
+func (s *site) unread(o outcome) bool {
+	return o.err != nil && o.status == 0 && !o.dropped && s.ran(o.id) == 0
+}
 
 func (o outcome) String() string {
-	return fmt.Sprintf("%s, sent at %.3f s and ended at %.3f s after SIGTERM: status %d, Retry-After %q, body %.60q, error %v",
-		o.id, o.sent.Seconds(), o.ended.Seconds(), o.status, o.retryAfter, o.body, o.err)
+	return fmt.Sprintf("%s, sent at %.3f s and ended at %.3f s after SIGTERM: status %d, Retry-After %q, body %.60q, error %v, dropped %v",
+		o.id, o.sent.Seconds(), o.ended.Seconds(), o.status, o.retryAfter, o.body, o.err, o.dropped)
 }
--- /dev/null
+++ b/test/stop/signals_test.go
@@ -0,0 +1,91 @@
+package stop
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestSignalEndsProcessWrongly guards against a process that ends with a failure, too
+// late or without an answer to an open request: after SIGTERM while it starts, several
+// times, beside SIGHUP, and while the store is silent.
+func TestSignalEndsProcessWrongly(t *testing.T) {
+	t.Parallel()
+	const (
+		grace = 2 * time.Second
+		work  = grace / 4
+	)
+	for _, r := range []struct {
+		name     string
+		starting bool
+		silent   bool
+		signals  []syscall.Signal
+		// every is the pause between the signals.
+		every time.Duration
+	}{
+		{name: "while it starts", starting: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		{name: "while it starts, store silent", starting: true, silent: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		{name: "store silent", silent: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		{name: "twice", signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}},
+		{name: "again and again", signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM}, every: margin},
+		{name: "after SIGHUP", signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}},
+		{name: "before SIGHUP", signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP}, every: margin},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			s := newSite(t)
+			s.route("booking", "unsafe", fields{})
+			s.runner("booking", func(w http.ResponseWriter, q *http.Request) { pause(q.Context(), work) })
+			h := s.newHost(grace)
+			end := func() {}
+			if r.silent && r.starting {
+				end = s.store.Silence()
+			}
+			var p *process
+			if r.starting {
+				p = h.start()
+				h.awaitListening()
+			} else {
+				p = h.run()
+			}
+			if r.silent && !r.starting {
+				end = s.store.Silence()
+			}
+			t.Cleanup(func() { end() })
+			c, err := p.dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			answered := make(chan outcome, 1)
+			go func() {
+				o := c.exchange(request("booking", "booking"))
+				o.id = "booking"
+				answered <- o
+			}()
+			time.Sleep(margin) // The node has read it.
+			for _, signal := range r.signals {
+				p.signal(signal)
+				time.Sleep(r.every)
+			}
+			o := <-answered
+			if served := o.err == nil && o.status == http.StatusOK; !served && !(r.starting && s.refused(o)) {
+				t.Errorf("no answer: %v", o)
+			}
+			p.awaitExit()
+		})
+	}
+}
+
+// awaitListening waits until callers can connect.
+func (h *host) awaitListening() {
+	h.site.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", h.entry); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	h.site.t.Fatal(fmt.Sprint("nothing listens on ", h.entry))
+}
