Planned stop: a process held up at the bound, and one that is busy until its end

The process is stopped around the end of the accept phase too: what was sent afterwards must not be taken. On this state such requests are read and dropped.

--- a/test/stop/accept_test.go
+++ b/test/stop/accept_test.go
@@ -14,8 +14,16 @@
 func TestLateRequestIsTakenAndGivenUp(t *testing.T) {
 	t.Parallel()
 	const grace = 8 * time.Second
-	for name, late := range map[string]time.Duration{"signal seen at once": 0, "signal seen late": 300 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
+	for _, r := range []struct {
+		name string
+		// from is when after SIGTERM the process is stopped for a time.
+		from, stopped time.Duration
+	}{
+		{name: "signal seen at once"},
+		{name: "signal seen late", stopped: 3 * margin},
+		{name: "stopped at the bound", from: share(grace, accepting) - margin, stopped: 4 * margin},
+	} {
+		t.Run(r.name, func(t *testing.T) {
 			s := newSite(t)
 			s.route("booking", "unsafe", fields{})
 			s.runner("booking", silent)
@@ -39,9 +47,15 @@
 			for range 2 * int((to-from)/(margin/2)) {
 				kept = append(kept, p.keep())
 			}
-			p.signal(syscall.SIGSTOP, syscall.SIGTERM)
-			time.Sleep(late)
-			p.signal(syscall.SIGCONT)
+			end := p.keepBusy(to)
+			if r.from == 0 {
+				p.signal(syscall.SIGSTOP)
+			}
+			p.signal(syscall.SIGTERM)
+			all.Go(func() {
+				p.sleepUntil(r.from)
+				p.freeze(r.stopped)
+			})
 			for at := from; at < to; at += margin / 2 {
 				for _, route := range []string{"booking", "draft"} {
 					send(at, nil, route, fmt.Sprint(route, " on a new connection, ", at))
@@ -50,6 +64,7 @@
 				}
 			}
 			all.Wait()
+			end()
 			close(outcomes)
 			p.awaitExit()
 			for o := range outcomes {
--- a/test/stop/harness_test.go
+++ b/test/stop/harness_test.go
@@ -108,6 +108,11 @@
 	s := &site{t: t, store: platformtest.NewStore(t), runs: map[string]int{}, arrived: map[string]time.Time{}}
 	s.route("now", "unsafe", fields{})
 	s.runner("now", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get("Request-Id")) })
+	s.route("long", "unsafe", fields{})
+	s.runner("long", func(_ http.ResponseWriter, r *http.Request) {
+		work, _ := time.ParseDuration(r.Header.Get("Work"))
+		pause(r.Context(), work)
+	})
 	return s
 }
 
@@ -448,6 +453,23 @@
 	return o
 }
 
+// keepBusy sends a request on which a runner works for a time, so that the process
+// doesn't end before. end checks its answer.
+func (p *process) keepBusy(work time.Duration) (end func()) {
+	c, out := p.keep(), make(chan outcome, 1)
+	go func() {
+		o := c.exchange(request("long", "long", "Work: "+work.String()))
+		o.id = "long"
+		out <- o
+	}()
+	return func() {
+		p.site.t.Helper()
+		if o := <-out; o.status != http.StatusOK || o.err != nil {
+			p.site.t.Errorf("a request that was accepted in time has no answer: %v", o)
+		}
+	}
+}
+
 // refused reports whether the answer promises that the request never runs, truthfully.
 func (s *site) refused(o outcome) bool {
 	return o.err == nil && o.status == http.StatusServiceUnavailable && o.retryAfter != "" && s.ran(o.id) == 0
--- a/test/stop/idle_test.go
+++ b/test/stop/idle_test.go
@@ -37,21 +37,14 @@
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
 			s := newSite(t)
-			s.route("long", "unsafe", fields{})
-			s.runner("long", func(_ http.ResponseWriter, q *http.Request) { pause(q.Context(), share(grace, lastPart)-3*margin) })
 			p := s.newHost(grace).run()
 			var connected []*connection
 			for i := range connections {
 				connected = append(connected, p.connect(i, request("now", name(i))))
 			}
+			end := p.keepBusy(share(grace, lastPart) - 3*margin)
 			p.signal(syscall.SIGTERM)
 			var all sync.WaitGroup
-			// The process doesn't end before this request does.
-			all.Go(func() {
-				if o := p.send(nil, "long", "long"); o.status != http.StatusOK || o.err != nil {
-					t.Errorf("a request that was accepted in time has no answer: %v", o)
-				}
-			})
 			outcomes := make(chan outcome, connections)
 			for i, c := range connected {
 				all.Go(func() {
@@ -64,6 +57,7 @@
 				p.freeze(frozen)
 			}
 			all.Wait()
+			end()
 			close(outcomes)
 			p.awaitExit()
 			var lost []outcome
