--- a/test/stop/harness_test.go
+++ b/test/stop/harness_test.go
@@ -116,6 +116,9 @@
 	// requests are owed an answer, and from when on work of a runner is excused.
 	accepting = 3. / 8
 	lastPart  = 5. / 6
+	// firstPort is the first port of each host, which has an address of its own; the
+	// system gives out higher ones to connections.
+	firstPort = 18201
 )
 
 // share returns a part of a grace period.
@@ -259,12 +262,11 @@
 	// Each run of the tests has addresses of its own: several may run at once.
 	run := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+run>>8%128, run%256, 10+index)
-	ports := platformtest.FreePorts(s.t, ip, 5)
-	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
+	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, firstPort+i) }
 	h := &host{site: s, grace: grace, entry: address(0), ready: address(1), folder: s.t.TempDir()}
 	settings := platformtest.Node{
 		Host: fmt.Sprint("host-", index), Domain: "z1", IP: ip, Entry: h.entry, Ready: h.ready, Directory: address(2),
-		PeerPort: ports[3], MetricsPort: ports[4], Store: s.store.Address, Seeds: "[]",
+		PeerPort: firstPort + 3, MetricsPort: firstPort + 4, Store: s.store.Address, Seeds: "[]",
 	}.Settings()
 	changes = append(changes, `grace = "2s"`, fmt.Sprintf("grace = %q", grace))
 	text := strings.NewReplacer(changes...).Replace(string(settings))
@@ -338,7 +340,7 @@
 	h.site.t.Helper()
 	p := h.start()
 	client := http.Client{Timeout: time.Second}
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && p.running(); time.Sleep(20 * time.Millisecond) {
 		if response, err := client.Get("http://" + h.ready + "/-/readiness"); err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -346,10 +348,21 @@
 			}
 		}
 	}
-	h.site.t.Fatal("the node is not ready 20 s after its start")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h.site.t.Fatalf("the node has ended or is not ready 20 s after its start: %s", p.log.String())
 	return nil
 }
 
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 func (p *process) signal(signals ...syscall.Signal) {
 	for _, s := range signals {
 		if err := p.cmd.Process.Signal(s); err != nil {
