Planned stop: the last gate before a send asks too; a late end is no failure

A process that was held up between the choice of an upstream and the first byte passed requests on too late (read in the source by the tests' author, played in TestStopHoldsBackChosenSend).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -274,7 +274,8 @@
 
 // Stop leaves the fleet, serves callers with cached directory answers for a
 // while, drains open requests and exits within the grace period, which began when
-// the stop was requested. Neither the store nor another node can delay it.
+// the stop was requested. Neither the store nor another node can delay it. A service
+// that has not ended by then is only logged, since the process ends with it.
 func (n *Node) Stop(requested time.Time) error {
 	phases := drain.NewPhases(requested, n.settings.Bounds.Grace.Std())
 	n.stop.Begin(phases)
@@ -304,7 +305,11 @@
 	ending, end := context.WithDeadline(context.Background(), phases.Exit)
 	defer end()
 	err := n.kernel.Stop(ending)
-	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(), "error", errorText(drainErr))
+	n.log.Info(eventlog.NodeStopped, "open", open, "took_ms", time.Since(requested).Milliseconds(),
+		"error", errorText(errors.CombineErrors(drainErr, err)))
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
 	return err
 }
 
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -100,6 +100,9 @@
 // connected.
 func (f *flow) mayStillSend(u *topology.Upstream) bool {
 	s := f.service
+	if !f.begun && !f.mayEnd() {
+		return false
+	}
 	if state, _ := s.opts.Table.Wants(u, s.clock.Now()); state == holdoff.Refusing || state == holdoff.Leaving {
 		return false
 	}
--- a/pkg/relay/drain_test.go
+++ b/pkg/relay/drain_test.go
@@ -131,3 +131,26 @@
 
 // lateFailure is an upstream's failure after 300 ms.
 var lateFailure = lateAnswer(answers(500, "no"))
+
+// TestStopHoldsBackChosenSend guards against a request that is sent after the stop began
+// between the choice of its upstream and its first byte.
+func TestStopHoldsBackChosenSend(t *testing.T) {
+	svc := newTestService(t)
+	for range 4 {
+		svc.durations.Record("/booking/", time.Second)
+	}
+	stop := drain.NewStop()
+	svc.opts.Stop = stop
+	svc.client.scripts["a"] = func(ctx context.Context, s *Send) (*Answer, error) {
+		stop.Begin(drain.NewPhases(time.Now().Add(-7*time.Second), 8*time.Second))
+		if s.Admit() {
+			return answers(200, "ok")(ctx, s)
+		}
+		return nil, &SendError{HeldBack: true, Cause: errEndsLate}
+	}
+	svc.client.scripts["b"] = svc.client.scripts["a"]
+	resp := svc.run("/booking/1")
+	if resp.refusal == nil || resp.refusal.Code != result.Draining || resp.refusal.RetryAfter <= 0 {
+		t.Errorf("status %d, refusal %+v", resp.status, resp.refusal)
+	}
+}
