A process that is held up blames no upstream for its own silence

The watchdog adds the time for which it was woken late to the silence that it allows, and a probe that failed late says nothing. TestLateProcessBlamesNoUpstream failed before:

drain_test.go:185: sends "a b", ended true, want one send

--- a/pkg/relay/drain_test.go
+++ b/pkg/relay/drain_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cassiapin/pkg/clock"
 	"cassiapin/pkg/drain"
 	"cassiapin/pkg/result"
 	"cassiapin/pkg/topology"
@@ -154,3 +155,33 @@
 		t.Errorf("status %d, refusal %+v", resp.status, resp.refusal)
 	}
 }
+
+// lateClock wakes its waiters late, as a process does that gets no processor time.
+type lateClock struct {
+	clock.Real
+	late time.Duration
+}
+
+func (c lateClock) After(d time.Duration) <-chan time.Time { return c.Real.After(d + c.late) }
+
+// TestLateProcessBlamesNoUpstream guards against streams that are given up because this
+// process, not the upstream, was held up.
+func TestLateProcessBlamesNoUpstream(t *testing.T) {
+	svc := newTestService(t)
+	svc.clock = lateClock{late: 2 * time.Second}
+	for _, r := range svc.config.Routes {
+		r.Timeout = time.Minute
+	}
+	svc.client.scripts["a"] = func(ctx context.Context, s *Send) (*Answer, error) {
+		time.Sleep(2500 * time.Millisecond)
+		if ctx.Err() != nil {
+			return nil, &SendError{Connected: true, Cause: ctx.Err()}
+		}
+		return answers(200, events(1, 3))(ctx, s)
+	}
+	svc.client.scripts["b"] = answers(200, events(1, 3))
+	resp := svc.run("/draft/1", func(r *Request) { r.Timeout = time.Minute })
+	if got := svc.client.upstreams(); got != "a" || !resp.ended {
+		t.Errorf("sends %q, ended %v, want one send", got, resp.ended)
+	}
+}
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -58,6 +58,7 @@
 	probedAt := lastEvent
 	timeout := firstEventTimeout(route.TargetLatency, w.flow.request.PromptTokens, s.opts.Delay.Current(w.flow.target, lastEvent))
 	for {
+		waited := s.clock.Now()
 		select {
 		case <-w.done:
 			return
@@ -68,6 +69,10 @@
 		case <-s.clock.After(watchdogInterval):
 		}
 		now := s.clock.Now()
+		if late := now.Sub(waited) - watchdogInterval; late > watchdogInterval {
+			// While the process does not run, it reads no events either.
+			lastEvent, probedAt = lastEvent.Add(late), probedAt.Add(late)
+		}
 		dead := false
 		if now.Sub(lastEvent) > idleBeforeProbe && now.Sub(probedAt) > idleBeforeProbe && s.opts.Table.IdleTime(w.upstream, now) > idleBeforeProbe {
 			probedAt = now
@@ -88,13 +93,15 @@
 	return max(min(timeout, target), idleBeforeProbe) + time.Duration(promptTokens)*prefillAllowance
 }
 
-// probe reports whether the upstream answers a health probe.
+// probe reports whether the upstream answers a health probe. One that fails late says
+// nothing, because the process may have read its answer too late.
 func (w *watchdog) probe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s := w.flow.service
+	start := s.clock.Now()
 	if s.opts.Client.Probe(ctx, w.upstream) != nil {
-		return false
+		return s.clock.Since(start) > probeTimeout+watchdogInterval
 	}
 	s.opts.Table.Received(w.upstream, s.clock.Now())
 	return true
