A request read together with the one before it keeps its connection

Found in review: a request that net/http already had in its buffer (pipelining) never called Read of the counted connection, which stayed among the idle ones; a drain, the idle limit or the connection limit then cut the request's context and connection. ConnState takes active connections out of the idle ones.

--- a/pkg/budget/connections.go
+++ b/pkg/budget/connections.go
@@ -181,7 +181,15 @@
 		conn = secure.NetConn()
 	}
 	b, ok := conn.(*boundConn)
-	if !ok || state != http.StateIdle {
+	if !ok {
+		return
+	}
+	if state == http.StateActive {
+		// The request may have been read together with the one before it.
+		b.begin(time.Time{})
+		return
+	}
+	if state != http.StateIdle {
 		return // Read and Close notice the other changes.
 	}
 	b.head.Begin()
@@ -271,7 +279,7 @@
 func (b *boundConn) Read(p []byte) (int, error) {
 	n, err := b.TCPConn.Read(p)
 	if n > 0 {
-		b.begin()
+		b.begin(time.Now().Add(lastHeadTimeout))
 	}
 	if n > 0 && !b.head.Add(n) {
 		headsRefused.Inc()
@@ -293,7 +301,7 @@
 // begin takes a connection with a request out of the idle ones. A request that was
 // read while the connection was chosen to be closed is served: its caller can't tell
 // that it isn't.
-func (b *boundConn) begin() {
+func (b *boundConn) begin(deadline time.Time) {
 	c := b.connections
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -306,7 +314,7 @@
 	}
 	b.evicted, b.left = false, false
 	c.open++
-	_ = b.TCPConn.SetReadDeadline(time.Now().Add(lastHeadTimeout)) // It fails only on closed connections.
+	_ = b.TCPConn.SetReadDeadline(deadline) // It fails only on closed connections.
 }
 
 // ended is a time limit that has passed.
--- a/pkg/budget/connections_test.go
+++ b/pkg/budget/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -223,6 +224,60 @@
 	})
 }
 
+// TestBufferedRequestKeepsConnection guards against a connection that counts as idle
+// because its request was read together with the one before it.
+func TestBufferedRequestKeepsConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		close func(c *Connections)
+	}{
+		{"planned stop", func(c *Connections) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			go func() { defer cancel(); _ = c.Drain(ctx) }()
+		}},
+		{"idle limit", func(c *Connections) { c.CloseIdle(50 * time.Millisecond) }},
+		{"limit", func(c *Connections) {
+			c.mu.Lock()
+			evicted := c.evictOldest()
+			c.mu.Unlock()
+			if evicted != nil {
+				evicted.endReading()
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			begun := make(chan struct{}, 2)
+			cancelled := make(chan bool, 2)
+			s, c := startBound(t, 10, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/second" {
+					begun <- struct{}{}
+					select {
+					case <-r.Context().Done():
+						cancelled <- true
+						panic(http.ErrAbortHandler)
+					case <-time.After(500 * time.Millisecond):
+						cancelled <- false
+					}
+				}
+			})
+			caller := dial(t, s)
+			_, _ = io.WriteString(caller, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+			if _, err := http.ReadResponse(caller.reader, nil); err != nil {
+				t.Fatal(err)
+			}
+			<-begun
+			time.Sleep(100 * time.Millisecond)
+			tc.close(c)
+			if <-cancelled {
+				t.Error("the context of a request at work is cancelled")
+			}
+			if r, err := http.ReadResponse(caller.reader, nil); err != nil || r.StatusCode != 200 {
+				t.Errorf("no answer to a request at work: %v", err)
+			}
+		})
+	}
+}
+
 // TestArrivedRequestKeepsConnection guards against requests that have arrived, are
 // read late and dropped with their connection.
 func TestArrivedRequestKeepsConnection(t *testing.T) {
