A silent attempt gives way only to an upstream that could be chosen now

Found in review: reserve asked less than the choice itself, so a stream whose upstream was silent was broken off when all others were full or cold, the times at which upstreams are silent. Both use one placement request now; the choice waits an eighth of the latency objective from the reservation on, and a request that a leaving node can't send again after a refusal gets the code of a leaving node.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cassiapin/pkg/holdoff"
@@ -86,6 +87,13 @@
 	return best, ok
 }
 
+// Has reports whether Choose would return an upstream.
+func (t *Table) Has(r Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(r.Upstreams, func(u *topology.Upstream) bool { return t.eligible(r, u) })
+}
+
 // score returns the expected delay of the request at an upstream in seconds, with the
 // load there and the probability that it still has the beginning of the prompt.
 func (t *Table) score(r Request, u, home *topology.Upstream) (score float64, l load, held float64) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -345,6 +345,8 @@
 		f.callerLeft()
 	case !f.mayHaveRun && (fail.code == result.PromptQuarantined || fail.code == result.Draining):
 		f.refuse(fail.code, fail.retryAfter, fail.reason)
+	case !f.mayHaveRun && !f.mayEnd():
+		f.refuse(result.Draining, drain.RetryDelay(), fail.reason)
 	case !f.mayHaveRun:
 		f.refuse(result.NoRunner, f.retryAfter(now), fail.reason)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !now.Before(f.deadline):
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -26,6 +26,9 @@
 func (f *flow) acquire(ctx context.Context, model string) (*topology.Upstream, error) {
 	s := f.service
 	until := f.request.Received.Add(f.route.TargetLatency / holdDivisor)
+	if f.reserved.Load() {
+		until = s.clock.Now().Add(f.route.TargetLatency / holdDivisor) // Room may have gone since the reservation.
+	}
 	s.opts.Views.AwaitConfirmed(ctx)
 	if hangup.Left(ctx) {
 		return nil, ctx.Err()
@@ -138,38 +141,48 @@
 	s := f.service
 	nodes := s.opts.Fleet.Nodes()
 	service := f.view.Config.Services[f.target]
+	request := f.placementRequest(f.view, model, now, assignment, f.tried)
+	for {
+		choice, ok := s.opts.Table.Choose(request, rand.Float64())
+		if !ok {
+			return nil
+		}
+		u := choice.Upstream
+		if f.coldIn(f.view, u, s.opts.Table.ColdUntil(u), now) && !s.opts.Cold.Take(u, service.ColdPerSecond, nodes, now) {
+			continue // Another request used up the cold limit since Ready.
+		}
+		f.kept = choice.Kept
+		return u
+	}
+}
+
+// placementRequest returns what an upstream is chosen by. It is safe to use beside the
+// flow.
+func (f *flow) placementRequest(
+	view *topology.View, model string, now time.Time, assignment *canary.Assignment, tried map[topology.Incarnation]bool,
+) placement.Request {
+	s := f.service
+	nodes, service := s.opts.Fleet.Nodes(), view.Config.Services[f.target]
 	wanted := func(u *topology.Upstream) bool {
 		state, _ := s.opts.Table.Wants(u, now)
 		return state != holdoff.Refusing && state != holdoff.Leaving
 	}
-	request := placement.Request{
-		Upstreams: assignment.Candidates(f.view.Upstreams[f.target], func(u *topology.Upstream) bool {
-			return f.allowed(u, assignment) && !f.tried[u.Incarnation()] && !s.opts.Table.Paused(u, now) && wanted(u)
+	return placement.Request{
+		Upstreams: assignment.Candidates(view.Upstreams[f.target], func(u *topology.Upstream) bool {
+			return f.allowedIn(view, u, assignment) && !tried[u.Incarnation()] && !s.opts.Table.Paused(u, now) && wanted(u)
 		}),
 		Prompt:        f.prompt(model),
 		Preferred:     f.preferred(),
 		FailureDomain: s.opts.FailureDomain,
 		Region:        s.opts.Region,
-		Tried:         f.tried,
+		Tried:         tried,
 		MaxOpen:       maxOpen(service, len(nodes)),
 		Batched:       f.route.Streams(),
 		Now:           now,
 		Usable: func(u *topology.Upstream, coldUntil time.Time) bool {
-			return f.allowed(u, assignment) && (!f.cold(u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now))
+			return f.allowedIn(view, u, assignment) && (!f.coldIn(view, u, coldUntil, now) || service != nil && s.opts.Cold.Ready(u, service.ColdPerSecond, nodes, now))
 		},
 	}
-	for {
-		choice, ok := s.opts.Table.Choose(request, rand.Float64())
-		if !ok {
-			return nil
-		}
-		u := choice.Upstream
-		if f.cold(u, s.opts.Table.ColdUntil(u), now) && !s.opts.Cold.Take(u, service.ColdPerSecond, nodes, now) {
-			continue // Another request used up the cold limit since Ready.
-		}
-		f.kept = choice.Kept
-		return u
-	}
 }
 
 // minOpen is the lower bound of maxOpen in large fleets, where each node uses
@@ -185,13 +198,13 @@
 	return max(service.MaxConnections/max(nodes, 1), minOpen)
 }
 
-// cold reports whether an upstream is treated as in cold start.
-func (f *flow) cold(u *topology.Upstream, until, now time.Time) bool {
-	service := f.view.Config.Services[f.target]
+// coldIn reports whether an upstream is treated as in cold start.
+func (f *flow) coldIn(view *topology.View, u *topology.Upstream, until, now time.Time) bool {
+	service := view.Config.Services[f.target]
 	if service == nil || service.ColdPerSecond <= 0 {
 		return false
 	}
-	return now.Before(until) || now.Before(f.view.ColdUntil[u.FailureDomain])
+	return now.Before(until) || now.Before(view.ColdUntil[u.FailureDomain])
 }
 
 func (f *flow) inRegions(region string) bool {
--- a/pkg/relay/exclusions.go
+++ b/pkg/relay/exclusions.go
@@ -29,7 +29,7 @@
 			release++
 		case !f.inRegions(u.Region):
 			region++
-		case f.cold(u, s.opts.Table.ColdUntil(u), now):
+		case f.coldIn(f.view, u, s.opts.Table.ColdUntil(u), now):
 			cold++
 		case f.tried[u.Incarnation()]:
 			tried++
--- a/pkg/relay/replacement.go
+++ b/pkg/relay/replacement.go
@@ -4,7 +4,6 @@
 	"maps"
 
 	"cassiapin/pkg/canary"
-	"cassiapin/pkg/holdoff"
 	"cassiapin/pkg/limits"
 	"cassiapin/pkg/topology"
 )
@@ -15,13 +14,14 @@
 	flow       *flow
 	tried      map[topology.Incarnation]bool
 	assignment *canary.Assignment
+	model      string
 }
 
 // replacementOf returns the replacement of an attempt at u, which has not begun.
 func (f *flow) replacementOf(u *topology.Upstream) replacement {
 	tried := maps.Clone(f.tried)
 	tried[u.Incarnation()] = true
-	return replacement{flow: f, tried: tried, assignment: f.assignment}
+	return replacement{flow: f, tried: tried, assignment: f.assignment, model: f.model}
 }
 
 // reserve reports whether the attempt may be given up: another upstream could get the
@@ -39,14 +39,8 @@
 // available reports whether an upstream that has not been tried could get the request.
 func (r replacement) available() bool {
 	f, s := r.flow, r.flow.service
-	now, view := s.clock.Now(), s.opts.Views.View()
-	for _, u := range view.Upstreams[f.target] {
-		if r.tried[u.Incarnation()] || s.opts.Table.Paused(u, now) || !f.allowedIn(view, u, r.assignment) {
-			continue
-		}
-		if state, _ := s.opts.Table.Wants(u, now); state != holdoff.Refusing && state != holdoff.Leaving {
-			return true
-		}
+	if s.opts.Quarantine.Check(f.sharedParts) != nil {
+		return false
 	}
-	return false
+	return s.opts.Table.Has(f.placementRequest(s.opts.Views.View(), r.model, s.clock.Now(), r.assignment, r.tried))
 }
