--- a/pkg/drain/durations.go
+++ b/pkg/drain/durations.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -62,5 +63,5 @@
 	}
 	sorted := slices.Clone(r.latest[:min(r.count, durationSamples)])
 	slices.Sort(sorted)
-	return sorted[int(likelyQuantile*float64(len(sorted)))]
+	return sorted[int(math.Ceil(likelyQuantile*float64(len(sorted))))-1]
 }
--- a/pkg/drain/durations_test.go
+++ b/pkg/drain/durations_test.go
@@ -17,6 +17,7 @@
 	}{
 		{"none", nil, 0},
 		{"too few", []time.Duration{second(9), second(9), second(9)}, 0},
+		{"one long of four", []time.Duration{second(1), second(9), second(1), second(1)}, second(1)},
 		{"one long", []time.Duration{second(1), second(1), second(1), second(1), second(9)}, second(1)},
 		{"a third long", []time.Duration{second(1), second(9), second(1), second(9), second(1), second(1)}, second(9)},
 	} {
