A late or lost answer takes nobody out of reach

Cause: an isolated node took a member out of Reachable at the first missed probe, and dropped the ack of a sample probe that came after the timeout, so that with answers after 0.6 s it never found anybody again.

An ack counts whenever it comes: its sender is in reach, the missed result of the last probe is corrected, and an isolated node withdraws its suspicion. An isolated node keeps a member that answered within answerWindow (2.5 s: one sample interval and one timeout). No message is added.

--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -248,14 +248,12 @@
 
 func (s *Service) onAck(now time.Time, from peer.NodeID, m ack) {
 	s.deliverPiggyback(from, m.Extra)
+	s.recordAnswer(from, now)
 	f := s.probes.inFlight[m.Seq]
 	if f == nil {
 		return
 	}
 	delete(s.probes.inFlight, m.Seq)
-	if s.reach.isolated && from == f.target {
-		s.clearSuspicion(f.target, now)
-	}
 	switch f.purpose {
 	case direct, sample:
 		s.recordResult(f.target, true, f.sent)
--- a/pkg/membership/reach.go
+++ b/pkg/membership/reach.go
@@ -26,6 +26,9 @@
 	// proberTimeout is how long a node may stop probing another before it counts as
 	// silent: two probes may be late or lost.
 	proberTimeout = 2*probeInterval + probeTimeout
+	// answerWindow is how long an isolated node takes a member for reachable after its
+	// last answer: until the next sample's probe has been answered or has timed out.
+	answerWindow = sampleInterval + probeTimeout
 	// sampleDuration is the time until all probes of a sample have been answered or
 	// have timed out.
 	sampleDuration = probeTimeout + 2*TickInterval
@@ -61,10 +64,47 @@
 		r.results = make(map[peer.NodeID]probeResult)
 	}
 	r.results[id] = probeResult{reached, sent}
-	if e := s.table.entries[id]; e != nil && e.missed == reached {
-		e.missed = !reached
+	if e := s.table.entries[id]; e != nil {
+		s.setMissed(e, !reached)
+	}
+}
+
+func (s *Service) setMissed(e *entry, missed bool) {
+	if e.missed != missed {
+		e.missed = missed
 		s.table.chooseCurrent(e)
-		s.changed = s.changed || r.isolated
+		s.changed = s.changed || s.reach.isolated
+	}
+}
+
+// recordAnswer records that an ack of a member has arrived. One that comes after the
+// timeout of its probe shows as well that the member is in reach.
+func (s *Service) recordAnswer(from peer.NodeID, now time.Time) {
+	e := s.table.entries[from]
+	if e == nil {
+		return
+	}
+	e.answeredAt, e.lately = now, true
+	if r, ok := s.reach.results[from]; ok {
+		s.reach.results[from] = probeResult{true, r.at}
+	}
+	s.setMissed(e, false)
+	if s.reach.isolated {
+		s.clearSuspicion(from, now)
+	}
+}
+
+// expireAnswers ends the time for which answers keep members in reach. Only an
+// isolated node needs it.
+func (s *Service) expireAnswers(now time.Time) {
+	if !s.reach.isolated {
+		return
+	}
+	for _, e := range s.table.entries {
+		if e.lately && now.Sub(e.answeredAt) >= answerWindow {
+			e.lately = false
+			s.changed = s.changed || e.missed
+		}
 	}
 }
 
@@ -72,7 +112,7 @@
 // lately. An isolated node probes all members in turn, since suspicions no longer
 // reach it.
 func (s *Service) outOfReach(e *entry) bool {
-	return s.reach.isolated && e.missed && e.member.ID != s.self.ID
+	return s.reach.isolated && e.missed && !e.lately && e.member.ID != s.self.ID
 }
 
 // sampleCounts returns the number of recently probed hosts and how many of them
@@ -193,6 +233,7 @@
 	case !s.reach.isolated && disconnected:
 		s.reach.hostsAtIsolation = recent
 		s.setIsolated(true)
+		s.expireAnswers(now)
 	case s.reach.isolated && !disconnected && s.canEndIsolation(now, notDead):
 		s.setIsolated(false)
 		// Suspicions raised during the isolation are not evidence of a failure.
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -324,6 +324,7 @@
 			s.reach.restartProberTimeouts(now)
 		}
 		s.lastTick = now
+		s.expireAnswers(now)
 		s.refreshOverlay()
 		s.expire(now)
 		s.tickProbes(now)
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -91,7 +91,11 @@
 	// acknowledged; sampledAt is the start of the latest sample with the member.
 	missed    bool
 	sampledAt time.Time
-	digest    uint64
+	// answeredAt is when the member's last ack arrived, in time or late. An isolated
+	// node keeps lately up to date with it.
+	answeredAt time.Time
+	lately     bool
+	digest     uint64
 }
 
 // liveState returns the state of the member without suspicion.
