--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -46,6 +47,12 @@
 		}()
 		time.Sleep(50 * time.Millisecond)
 	}
+	phases := drain.NewPhases(requested, n.settings.Bounds.Grace.Std())
+	time.Sleep(time.Until(phases.Close.Add(phases.Abort.Sub(phases.Close) / 2)))
+	if conn, err := net.Dial("tcp", n.settings.Entry); err == nil {
+		_ = conn.Close()
+		t.Errorf("the node accepts connections %v after the stop", time.Since(requested))
+	}
 	counts := map[int]int{}
 	for range sent {
 		a := <-answers
