--- a/pkg/drain/phases.go
+++ b/pkg/drain/phases.go
@@ -26,8 +26,8 @@
 )
 
 // Phases are the times at which the phases of a planned stop begin. They depend
-// only on when the stop was requested, as far as the node knows: the platform counts the grace period from
-// there, so a phase that begins late leaves less time for open requests.
+// only on when the stop was requested, as far as the node knows: the grace period
+// counts from there, so a phase that begins late leaves less time for open requests.
 type Phases struct {
 	Requested time.Time
 	// Refuse ends the time in which requests are accepted, Close that in which
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -110,7 +110,7 @@
 				cancel()
 				return
 			}
-			wait = watchdogInterval
+			wait = reservePause
 		}
 	}()
 	return expired.Load
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -26,6 +26,9 @@
 	// added, so that streams do not fail over while all upstreams are late.
 	firstEventShare = 0.5
 	delayFactor     = 4
+	// reservePause is the time between two attempts to reserve a replacement: each looks
+	// at all upstreams, and attempts that have failed are to find some of the budget.
+	reservePause = 500 * time.Millisecond
 	// watchdogInterval is how often the watchdog checks these limits.
 	watchdogInterval = 100 * time.Millisecond
 )
@@ -55,7 +58,7 @@
 func (w *watchdog) run(ctx context.Context, cancel context.CancelFunc) {
 	s, route := w.flow.service, w.flow.route
 	lastEvent := s.clock.Now()
-	probedAt := lastEvent
+	probedAt, reservedAt := lastEvent, time.Time{}
 	timeout := firstEventTimeout(route.TargetLatency, w.flow.request.PromptTokens, s.opts.Delay.Current(w.flow.target, lastEvent))
 	for {
 		waited := s.clock.Now()
@@ -78,7 +81,10 @@
 			probedAt = now
 			dead = !w.probe(ctx)
 		}
-		if (dead || now.Sub(lastEvent) > timeout) && w.replacement.reserve() {
+		if !dead && now.Sub(lastEvent) <= timeout || now.Sub(reservedAt) < reservePause {
+			continue
+		}
+		if reservedAt = now; w.replacement.reserve() {
 			close(w.expired)
 			cancel()
 			return
