--- a/test/stop/harness_test.go
+++ b/test/stop/harness_test.go
@@ -179,23 +179,13 @@
 // probedRunner starts a runner that answers probes with report.
 func (s *site) probedRunner(service string, report, answer http.HandlerFunc) {
 	id := fmt.Sprint("i-", runners.Add(1))
+	run := platformtest.Instance(id, s.count, answer)
 	address := platformtest.Runner(s.t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/report" {
 			report(w, r)
 			return
 		}
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		if r.Header.Get("Expected-Instance") != id {
-			w.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		s.count(r.Header.Get("Request-Id"), 1)
-		_, _ = io.Copy(io.Discard, r.Body) // The server notices the end of the connection afterwards.
-		w.Header().Set("Response-Stamp", "signed")
-		answer(w, r)
-		if w.Header().Get("Not-Executed") != "" {
-			s.count(r.Header.Get("Request-Id"), -1)
-		}
+		run(w, r)
 	})
 	s.store.Put("servers", id, fields{
 		"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 500, "state": "ready", "sequence": 1, "born": 1,
