--- a/pkg/storeview/current_test.go
+++ b/pkg/storeview/current_test.go
@@ -64,6 +64,7 @@
 // configuration only to learn that it has not changed.
 func TestLargeUnchangedIsNotListed(t *testing.T) {
 	s := startWith(t, &client{fakeStore: newFakeStore()}, (&hub{}).join(Readers))
+	waitFor(t, s, 1, time.Second) // The first list replaces the configuration.
 	for size, want := range map[int]bool{maxListedBytes: true, maxListedBytes + 1: false} {
 		s.mu.Lock()
 		s.config.Spec = make([]byte, size)
