Logs of denials name what confirmed the configuration

The lines of codes 103, 110 and 401 have confirmed_by, confirmed_ago_ms, store_revision, announced_revision and reader_rank now. TestDenialsNameConfirmation fails without them. No change of behaviour.

--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -154,6 +154,9 @@
 	}
 	return !n.outdated
 }
+func (n *fakeNode) Confirmation(storeview.Kind) storeview.Confirmation {
+	return storeview.Confirmation{Source: "watch", Age: 40 * time.Millisecond, Revision: 7, Rank: 1}
+}
 func (n *fakeNode) Nodes() []string                   { return n.ids }
 func (n *fakeNode) DomainNodes() []string             { return n.ids }
 func (n *fakeNode) Self() string                      { return "self" }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -39,6 +39,8 @@
 	// AwaitCurrent waits until the view of a kind includes all changes that must
 	// have taken effect, at most for the given time, and reports whether it does.
 	AwaitCurrent(ctx context.Context, kind storeview.Kind, limit time.Duration) bool
+	// Confirmation returns what the view of a kind rests on.
+	Confirmation(kind storeview.Kind) storeview.Confirmation
 }
 
 // Fleet lists the nodes that serve callers.
@@ -337,13 +339,25 @@
 	f.countOutcome(outcomeRefused)
 	attrs := f.attrs("code", int(code), "reason", reason,
 		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)
-	if code == result.NoRunner {
+	switch code {
+	case result.NoRunner:
 		attrs = append(attrs, f.exclusions()...)
+	case result.NoConfiguration, result.NotFound, result.Unauthenticated:
+		attrs = append(attrs, f.confirmation()...)
 	}
 	f.service.log.Warn(eventlog.RequestRefused, attrs...)
 	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, RetryAfter: retryAfter, Reason: reason})
 }
 
+// confirmation returns the log fields about what a denial rests on.
+func (f *flow) confirmation() []any {
+	c := f.service.opts.Views.Confirmation(storeview.Configurations)
+	return []any{
+		"confirmed_by", c.Source, "confirmed_ago_ms", c.Age.Milliseconds(),
+		"store_revision", c.Revision, "announced_revision", c.Announced, "reader_rank", c.Rank,
+	}
+}
+
 // fail answers with an error: the request may have run, but has no answer.
 func (f *flow) fail(code result.Code, reason string) {
 	f.countOutcome(outcomeFailed)
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
@@ -134,6 +136,23 @@
 	}
 }
 
+// TestDenialsNameConfirmation guards against log lines of denials that do not show what
+// the configuration that denied was confirmed by.
+func TestDenialsNameConfirmation(t *testing.T) {
+	for _, outdated := range []bool{false, true} {
+		svc := newTestService(t)
+		svc.node.outdated = outdated
+		var lines bytes.Buffer
+		svc.log = slog.New(slog.NewJSONHandler(&lines, nil))
+		svc.run("/nowhere/")
+		for _, want := range []string{`"confirmed_by":"watch"`, `"confirmed_ago_ms":40`, `"store_revision":7`, `"announced_revision":0`, `"reader_rank":1`} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("outdated %t: no %s in %s", outdated, want, &lines)
+			}
+		}
+	}
+}
+
 // TestSendsOnlyToEligibleUpstreams guards against sends to upstreams that are
 // not eligible for the request.
 func TestSendsOnlyToEligibleUpstreams(t *testing.T) {
--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -62,7 +62,7 @@
 	}
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
-	f.verified = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	f.verified, f.source = s.clock.Now().Add(-time.Duration(r.AgeMS)*time.Millisecond), sourceReply
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
 }
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -55,8 +55,9 @@
 	latency     time.Duration
 	callTimeout time.Duration
 	failedSince time.Time
-	// verified is when the state was last confirmed as the newest.
+	// verified is when the state was last confirmed as the newest, and source by what.
 	verified time.Time
+	source   source
 }
 
 // follow lists and watches one kind until ctx ends.
@@ -99,9 +100,11 @@
 	s := f.service
 	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
 	var changes []Change
+	by := sourceWatch
 	switch {
 	case !f.listed || f.missesSeveral():
 		var from topology.Revision
+		by = sourceList
 		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.from, f.listed, f.latency, f.changed = from, true, max(s.clock.Since(start), 1), from
 		}
@@ -120,13 +123,13 @@
 		s.confirm(f.kind, began)
 		// An answer confirms the state at the time of the answer; a change
 		// missed by a watch is found by the next call.
-		f.verified = s.clock.Now()
+		f.verified, f.source = s.clock.Now(), by
 		if len(changes) > 0 {
 			f.changed = f.from
 		}
 		f.recordLatestProgress()
 		s.mu.Lock()
-		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value()}
+		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value(), f.source}
 		s.mu.Unlock()
 		f.publishChanges(before, base, changes)
 	}
@@ -171,7 +174,7 @@
 	s := f.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.latestProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value()}
+	s.latestProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value(), f.source}
 }
 
 // digest returns the digest of the kind's current state.
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -39,6 +39,15 @@
 	// unknown; the receiver sets them.
 	ageMS  int64
 	digest uint64
+	// isReply is set by the receiver of a Reply.
+	isReply bool
+}
+
+func (n *Notice) source() source {
+	if n.isReply {
+		return sourceReply
+	}
+	return sourceNotice
 }
 
 // Readers is the number of nodes that read the store for all: one can fail and
@@ -205,6 +214,7 @@
 	from, changed topology.Revision
 	verified      time.Time
 	digest        uint64
+	source        source
 }
 
 func noticeChanges(changes []Change) []NoticeChange {
@@ -334,7 +344,7 @@
 	}
 	s.lastAnswer[f.kind].Store(s.clock.Now().UnixNano())
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.verified) {
-		f.verified = at
+		f.verified, f.source = at, n.source()
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from && f.failedSince.IsZero() {
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -72,7 +72,7 @@
 // applyReply applies the answer of another node.
 func (f *follower) applyReply(r Reply) bool {
 	n := r.Notice
-	n.ageMS = r.AgeMS
+	n.ageMS, n.isReply = r.AgeMS, true
 	return n.Kind == f.kind && n.To > f.from && f.applyNotice(n)
 }
 
