--- /dev/null
+++ b/pkg/storeview/confirmation_test.go
@@ -0,0 +1,229 @@
+package storeview
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// slowClient delays answers that the store has made, or keeps calls hanging.
+type slowClient struct {
+	*fakeStore
+	delay   atomic.Int64
+	hanging atomic.Bool
+	// reads counts the reads of configurations that the store has got.
+	reads atomic.Int64
+}
+
+// awaitRead returns at the beginning of the next read of configurations.
+func (c *slowClient) awaitRead() {
+	for before := c.reads.Load(); c.reads.Load() == before; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *slowClient) count(k Kind) {
+	if k == Configurations {
+		c.reads.Add(1)
+	}
+}
+
+func (c *slowClient) List(ctx context.Context, k Kind) ([]Object, topology.Revision, error) {
+	if c.hanging.Load() {
+		time.Sleep(effectiveIn)
+		return nil, 0, errUnavailable
+	}
+	c.count(k)
+	objects, revision, err := c.fakeStore.List(ctx, k)
+	time.Sleep(time.Duration(c.delay.Load()))
+	return objects, revision, err
+}
+
+func (c *slowClient) Watch(
+	ctx context.Context, k Kind, after topology.Revision, wait, slack time.Duration,
+) ([]Change, topology.Revision, error) {
+	if c.hanging.Load() {
+		time.Sleep(wait + slack)
+		return nil, 0, errUnavailable
+	}
+	c.count(k)
+	changes, revision, err := c.fakeStore.Watch(ctx, k, after, wait, slack)
+	time.Sleep(time.Duration(c.delay.Load()))
+	return changes, revision, err
+}
+
+// watchDenials checks that a node denies nothing by the first configuration once the
+// second one has been in the store for the bound.
+func watchDenials(t *testing.T, s *Service, changed time.Time) {
+	t.Helper()
+	var last time.Duration
+	for time.Since(changed) < 5*effectiveIn {
+		asked := time.Since(changed)
+		if s.AwaitCurrent(t.Context(), Configurations, time.Millisecond) && s.View().Config.Version == 1 {
+			last = asked
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if last > effectiveIn {
+		t.Errorf("an old configuration denies requests sent %s after the change, bound %s", last, effectiveIn)
+	}
+}
+
+// delayedFleet starts a reader and a node that relies on its notices, which are also
+// received by the test.
+func delayedFleet(t *testing.T) (store *fakeStore, reader *hubPeer, c *slowClient, s *Service, seen chan Notice) {
+	t.Helper()
+	store = newFakeStore()
+	h := &hub{}
+	reader = h.join(0)
+	waitFor(t, startWith(t, &client{fakeStore: store}, reader), 1, time.Second)
+	c = &slowClient{fakeStore: store}
+	s = startWith(t, c, h.join(Readers))
+	waitFor(t, s, 1, time.Second)
+	seen = make(chan Notice, 1000)
+	h.join(Readers).Receive(func(n Notice) { seen <- n })
+	time.Sleep(effectiveIn)
+	return store, reader, c, s, seen
+}
+
+// lastKnown returns the latest notice of known revisions.
+func lastKnown(seen chan Notice) Notice {
+	for {
+		if n := <-seen; len(n.Known) > 0 && len(seen) == 0 {
+			return n
+		}
+	}
+}
+
+// TestDelayedNotice guards against denials by a node that counts a notice from its
+// arrival, although it was delayed on its way.
+func TestDelayedNotice(t *testing.T) {
+	store, reader, c, s, seen := delayedFleet(t)
+	n := lastKnown(seen)
+	reader.dropNotices.Store(true)
+	c.hanging.Store(true)
+	changed := time.Now()
+	store.set(func() { store.version = 2 })
+	time.AfterFunc(effectiveIn*8/10, func() { s.receive(n) })
+	watchDenials(t, s, changed)
+}
+
+// TestQueuedNotice guards against denials by a node that counts a notice from when it
+// is taken out of the queue, in which it waited for a call that hung.
+func TestQueuedNotice(t *testing.T) {
+	store, reader, c, s, seen := delayedFleet(t)
+	reader.dropNotices.Store(true)
+	c.hanging.Store(true)
+	n := lastKnown(seen)
+	time.Sleep(effectiveIn * 9 / 10) // The follower calls the store by now.
+	s.receive(n)
+	changed := time.Now()
+	store.set(func() { store.version = 2 })
+	watchDenials(t, s, changed)
+}
+
+// TestDelayedAnswer guards against denials by a node that counts an answer of the
+// store from its arrival.
+func TestDelayedAnswer(t *testing.T) {
+	store, reader, c, s, _ := delayedFleet(t)
+	reader.dropNotices.Store(true)
+	c.delay.Store(int64(effectiveIn * 8 / 10))
+	c.awaitRead()
+	time.Sleep(effectiveIn/2 + 10*time.Millisecond)
+	c.hanging.Store(true)
+	changed := time.Now()
+	store.set(func() { store.version = 2 })
+	watchDenials(t, s, changed)
+}
+
+// TestDeafWatchThenSilence guards against denials by a node whose watch has missed a
+// change and whose next call gets no answer.
+func TestDeafWatchThenSilence(t *testing.T) {
+	store := newFakeStore()
+	c := &slowClient{fakeStore: store}
+	s := startWith(t, c, nil)
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(effectiveIn)
+	c.awaitRead()
+	c.hanging.Store(true) // The watch that has just begun still ends with an answer.
+	changed := time.Now()
+	store.set(func() { store.deaf, store.version = true, 2 })
+	watchDenials(t, s, changed)
+}
+
+// TestDeafWatch guards against a change that is never found, since a watch missed it
+// and the next one begins behind it.
+func TestDeafWatch(t *testing.T) {
+	store := newFakeStore()
+	s := start(t, store)
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(effectiveIn) // Lets a watch wait.
+	store.set(func() { store.deaf, store.version = true, 2 })
+	waitFor(t, s, 2, effectiveIn)
+}
+
+// TestDeafReader guards against a reader whose watch has missed a change and which
+// tells the others that nothing has changed.
+func TestDeafReader(t *testing.T) {
+	store, _, s := fleet(t)
+	time.Sleep(effectiveIn)
+	store.set(func() { store.deaf, store.version = true, 2 })
+	waitFor(t, s, 2, effectiveIn)
+}
+
+// TestDifferentDigest guards against a node that takes a notice for a confirmation
+// although the sender has other objects at the same revision.
+func TestDifferentDigest(t *testing.T) {
+	for _, to := range []topology.Revision{10, 12} {
+		s := New(Options{Decoder: fakeDecoder{}, EffectiveIn: map[Kind]time.Duration{Configurations: effectiveIn}})
+		if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+			t.Fatal(err)
+		}
+		s.digests[Configurations] = newDigest([]Object{{Name: "main", Revision: 5}})
+		other := newDigest([]Object{{Name: "main", Revision: 9}}).value()
+		f := &follower{service: s, kind: Configurations, from: 10, changed: 9, listed: true}
+		n := Notice{Kind: Configurations, From: 9, To: to, Complete: true, digest: other}
+		if f.applyNotice(n) {
+			t.Errorf("notice of other objects up to %d: the store is not called", to)
+		}
+		if !f.verified.IsZero() {
+			t.Errorf("notice of other objects up to %d: counts as a confirmation", to)
+		}
+	}
+}
+
+// pickyDecoder fails for one version.
+type pickyDecoder struct{ fakeDecoder }
+
+func (pickyDecoder) Config(o Object) (*topology.Config, bool, error) {
+	if o.Revision == 2 {
+		return nil, false, errors.New("unknown field")
+	}
+	return fakeDecoder{}.Config(o)
+}
+
+// TestUndecodableIsNotCurrent guards against denials by the configuration before one
+// that this node cannot decode.
+func TestUndecodableIsNotCurrent(t *testing.T) {
+	store := newFakeStore()
+	s := startOptions(t, Options{Store: store, Decoder: pickyDecoder{}})
+	waitFor(t, s, 1, time.Second)
+	store.set(func() { store.version = 2 })
+	time.Sleep(effectiveIn)
+	if s.AwaitCurrent(t.Context(), Configurations, effectiveIn/2) {
+		t.Error("current although the newest configuration could not be decoded")
+	}
+	store.set(func() { store.version = 3 })
+	waitFor(t, s, 3, effectiveIn)
+	if !s.AwaitCurrent(t.Context(), Configurations, effectiveIn/2) {
+		t.Error("not current with the newest configuration")
+	}
+}
--- a/pkg/storeview/service_test.go
+++ b/pkg/storeview/service_test.go
@@ -24,6 +24,9 @@
 	others       topology.Revision
 	changed      chan struct{}
 	watchStalled bool
+	// deaf makes waiting watches end without the changes of that time, at a revision
+	// behind them.
+	deaf bool
 	// answerLimit is the most changes in an answer, zero is no limit.
 	answerLimit int
 	unavailable bool
@@ -68,11 +71,12 @@
 		f.mu.Lock()
 		f.calls += map[bool]int{true: 1}[first]
 		version, revision, stalled, unavailable, changed, object := f.version, f.version+f.others, f.watchStalled, f.unavailable, f.changed, f.object()
+		deaf := f.deaf
 		f.mu.Unlock()
 		switch {
 		case unavailable:
 			return nil, 0, errUnavailable
-		case !first && stalled:
+		case !first && (stalled || deaf):
 		case version > after && kind == Configurations:
 			var changes []Change
 			for v := after + 1; v <= version; v++ {
@@ -121,7 +125,9 @@
 // bounds.
 func startOptions(t *testing.T, o Options) *Service {
 	t.Helper()
-	o.Decoder = fakeDecoder{}
+	if o.Decoder == nil {
+		o.Decoder = fakeDecoder{}
+	}
 	o.EffectiveIn = map[Kind]time.Duration{
 		Configurations: effectiveIn, Upstreams: effectiveIn, Rollouts: effectiveIn, Evacuations: effectiveIn,
 	}
