Store view: denials need a proof that delays can only make older

Cause, as far as it could be reproduced: a confirmation counted from when it was processed.

Now a view is current only by a proof: the start of the node's own call, or the first reader's proof counted back from the time of a query. Notices prove nothing. A request that awaits a proof makes the node ask the first reader, or else call the store. The whole bound counts, since no allowance for unknown delays is needed.

TestCurrent asks by AwaitCurrent, as denials do, and checks that it costs no call of the store. TestReaderProves: the fix does not refuse where the reader answers.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -196,6 +196,16 @@
 	return len(n.members.Live()), n.registry.nodeCount()
 }
 
+// QueryReader implements storeview.Peers.
+func (n notices) QueryReader(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
+	ids := readers(n.members.Reachable())
+	if len(ids) == 0 || ids[0] == n.msgr.Self() {
+		return reply, storeview.ErrNoReader
+	}
+	err = n.msgr.Request(ctx, ids[0], kindQuery, q, &reply)
+	return reply, err
+}
+
 // QueryParent implements storeview.Peers.
 func (n notices) QueryParent(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
 	parent, ok := parentOf(n.members.Reachable(), n.msgr.Self())
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -1,29 +1,202 @@
 package storeview
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cassiapin/pkg/topology"
 )
 
-// source is what has confirmed a view, for logs.
+// proof is a time, on the clock of pauses, at which a node's view of a kind had all
+// changes that the store had made. Delays only make it earlier: a call of the store
+// proves the time of its start, and another node's proof counts back from the time at
+// which that node was asked. The time that a message was on its way, or a notice
+// waited in a queue, is unknown to its receiver, so notices prove nothing.
+type proof struct {
+	at     time.Duration
+	source source
+}
+
+// source is what a proof is from, for logs; empty is none.
 type source string
 
 const (
-	sourceNone   source = "none"
-	sourceList   source = "list"
-	sourceWatch  source = "watch"
-	sourceNotice source = "notice"
-	sourceReply  source = "reply"
+	sourceList  source = "list"
+	sourceWatch source = "watch"
+	sourceReply source = "reply"
+)
+
+const (
+	// readerQueryTimeout bounds the query of a proof. It leaves a denied request time
+	// for a call of the store.
+	readerQueryTimeout = 250 * time.Millisecond
+	// proofPoll is the longest pause between two looks at the view by a request that
+	// awaits a proof.
+	proofPoll = 10 * time.Millisecond
 )
 
+var (
+	// ErrNoReader is returned to the first reader.
+	ErrNoReader = errors.New("this node is the first reader")
+
+	errNotProven     = errors.New("the state is not proven")
+	errCallRequested = errors.New("a call without a wait is requested")
+)
+
+// Current reports whether the view of a kind includes all changes that must have taken
+// effect: it was proven to be the newest within the bound, and no node has announced a
+// later state. A view that is not current proves nothing about what does not exist.
+func (s *Service) Current(kind Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.proofs[kind]
+	return p.source != "" && s.pauses.now()-p.at < s.opts.EffectiveIn[kind] &&
+		topology.Revision(s.announced[kind].Load()) <= s.latestProgress[kind].from
+}
+
+// AwaitCurrent waits until the view of a kind is current, at most for the given time,
+// and reports whether it is. It requests a proof if there is none.
+func (s *Service) AwaitCurrent(ctx context.Context, kind Kind, limit time.Duration) bool {
+	until := s.clock.Now().Add(limit)
+	for !s.Current(kind) {
+		select {
+		case s.proofRequests <- kind:
+		default: // Others await proofs too.
+		}
+		if !s.clock.Now().Before(until) || s.clock.Sleep(ctx, proofPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// proveLoop gets the proofs that requests await, from the first reader or else by a
+// call of the store.
+func (s *Service) proveLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case kind := <-s.proofRequests:
+			if s.Current(kind) {
+				continue
+			}
+			if !s.queryReader(ctx, kind) {
+				select {
+				case s.callRequests[kind] <- struct{}{}:
+				default: // Requested already.
+				}
+			}
+			if s.clock.Sleep(ctx, s.coalesce(kind)) != nil {
+				return
+			}
+		}
+	}
+}
+
+// queryReader asks the first reader for a proof, or for the state that this node
+// lacks. It returns false if the store has to be called.
+func (s *Service) queryReader(ctx context.Context, kind Kind) bool {
+	if s.opts.Peers == nil {
+		return false
+	}
+	s.mu.Lock()
+	q := Query{Kind: kind, After: s.latestProgress[kind].from, Packed: true, Prove: true, Digest: s.digests[kind].value()}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, readerQueryTimeout)
+	defer cancel()
+	asked := s.pauses.now()
+	r, err := s.opts.Peers.QueryReader(ctx, q)
+	if err != nil || r.Notice.Kind != kind {
+		return false
+	}
+	if r.Notice.To > q.After && len(r.Notice.Packed) > 0 {
+		n := r.Notice
+		n.ageMS = r.AgeMS
+		s.queue(n)
+		return true
+	}
+	return s.proveByReply(kind, asked, r)
+}
+
+// proofFor answers a query for a proof: with this node's own if both have the same
+// objects, else with the newest configuration.
+func (s *Service) proofFor(q Query) (Reply, error) {
+	if q.Kind < Configurations || q.Kind > Evacuations {
+		return Reply{}, errNotProven
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.latestProgress[q.Kind]
+	if q.Digest == 0 || q.Digest != known.digest {
+		return s.newestLocked(q)
+	}
+	provenMS := s.provenMS(q.Kind)
+	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
+		return Reply{}, errNotProven
+	}
+	return Reply{Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from}, ProvenMS: provenMS}, nil
+}
+
+// provenMS returns the age of the proof for a Reply. The caller holds the lock.
+func (s *Service) provenMS(kind Kind) int64 {
+	p := s.proofs[kind]
+	if p.source == "" {
+		return 0
+	}
+	return (s.pauses.now() - p.at).Milliseconds() + 1
+}
+
+// proveByReply records another node's proof of the state that this node has. It returns
+// false if the reply has none.
+func (s *Service) proveByReply(kind Kind, asked time.Duration, r Reply) bool {
+	if r.ProvenMS <= 0 {
+		return false
+	}
+	s.prove(kind, asked-time.Duration(r.ProvenMS)*time.Millisecond, sourceReply)
+	return true
+}
+
+// prove records a proof. An earlier one has no effect.
+func (s *Service) prove(kind Kind, at time.Duration, by source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := &s.proofs[kind]; p.source == "" || at > p.at {
+		*p = proof{at, by}
+	}
+}
+
+// cancelOnRequest returns a context that ends with errCallRequested when a call without
+// a wait is requested.
+func (s *Service) cancelOnRequest(ctx context.Context, kind Kind) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-s.callRequests[kind]:
+			cancel(errCallRequested)
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+// dropCallRequest drops a request that the next call serves.
+func (s *Service) dropCallRequest(kind Kind) {
+	select {
+	case <-s.callRequests[kind]:
+	default:
+	}
+}
+
 // Confirmation is what a node's view of a kind rests on.
 type Confirmation struct {
-	// Source is "list" or "watch" for an answer of the store, "notice" or "reply"
-	// for a message of another node, "none" before the first.
+	// Source is "list" or "watch" for a call of the store, "reply" for the proof of
+	// another node, and empty before the first.
 	Source string
 	// Age is the time for which changes may have been missed, -1 before the first
-	// confirmation.
+	// proof.
 	Age time.Duration
 	// Revision is the store's revision up to which all changes are known, and
 	// Announced the latest one that another node has announced without its changes.
@@ -34,17 +207,16 @@
 
 // Confirmation returns what the view of a kind rests on.
 func (s *Service) Confirmation(kind Kind) Confirmation {
+	rank := s.rank()
 	s.mu.Lock()
-	p := s.latestProgress[kind]
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	p := s.proofs[kind]
 	c := Confirmation{
-		Source: string(p.source), Age: -1, Revision: p.from,
-		Announced: topology.Revision(s.announced[kind].Load()), Rank: s.rank(),
+		Source: string(p.source), Age: -1, Revision: s.latestProgress[kind].from,
+		Announced: topology.Revision(s.announced[kind].Load()), Rank: rank,
 	}
-	if p.verified.IsZero() {
-		c.Source = string(sourceNone)
-	} else {
-		c.Age = s.clock.Since(p.verified)
+	if p.source != "" {
+		c.Age = s.pauses.now() - p.at
 	}
 	return c
 }
--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -109,6 +109,7 @@
 	store, reader, c, s, seen := delayedFleet(t)
 	n := lastKnown(seen)
 	reader.dropNotices.Store(true)
+	reader.unreachable.Store(true)
 	c.hanging.Store(true)
 	changed := time.Now()
 	store.set(func() { store.version = 2 })
@@ -121,6 +122,7 @@
 func TestQueuedNotice(t *testing.T) {
 	store, reader, c, s, seen := delayedFleet(t)
 	reader.dropNotices.Store(true)
+	reader.unreachable.Store(true)
 	c.hanging.Store(true)
 	n := lastKnown(seen)
 	time.Sleep(effectiveIn * 9 / 10) // The follower calls the store by now.
@@ -135,6 +137,7 @@
 func TestDelayedAnswer(t *testing.T) {
 	store, reader, c, s, _ := delayedFleet(t)
 	reader.dropNotices.Store(true)
+	reader.unreachable.Store(true)
 	c.delay.Store(int64(effectiveIn * 8 / 10))
 	c.awaitRead()
 	time.Sleep(effectiveIn/2 + 10*time.Millisecond)
@@ -144,6 +147,27 @@
 	watchDenials(t, s, changed)
 }
 
+// TestReaderProves guards against refusals by a node that gets no notices and that the
+// store rejects, while it reaches the reader: it gets the change, and can deny by it.
+func TestReaderProves(t *testing.T) {
+	store, listener, s := fleet(t)
+	s.opts.Peers.(*hubPeer).hub.peers[0].dropNotices.Store(true)
+	listener.unavailable.Store(true)
+	store.set(func() { store.version = 2 })
+	for changed := time.Now(); time.Since(changed) < 3*effectiveIn; time.Sleep(effectiveIn / 8) {
+		asked := time.Since(changed)
+		if !s.AwaitCurrent(t.Context(), Configurations, maxRetryPause) {
+			t.Fatalf("a denial was not possible %s after the change", asked)
+		}
+		if v := s.View().Config.Version; v != 2 && asked > effectiveIn {
+			t.Fatalf("configuration %d denies %s after the change", v, asked)
+		}
+	}
+}
+
+// maxRetryPause is the longest pause between two calls of a store that does not answer.
+const maxRetryPause = 3 * retryMax / 2
+
 // TestDeafWatchThenSilence guards against denials by a node whose watch has missed a
 // change and whose next call gets no answer.
 func TestDeafWatchThenSilence(t *testing.T) {
@@ -194,7 +218,7 @@
 		if f.applyNotice(n) {
 			t.Errorf("notice of other objects up to %d: the store is not called", to)
 		}
-		if !f.verified.IsZero() {
+		if !f.reported.IsZero() {
 			t.Errorf("notice of other objects up to %d: counts as a confirmation", to)
 		}
 	}
--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -62,7 +62,8 @@
 	}
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
-	f.verified, f.source = s.clock.Now().Add(-time.Duration(r.AgeMS)*time.Millisecond), sourceReply
+	f.reported = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	s.proveByReply(f.kind, began, r)
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
 }
@@ -90,8 +91,9 @@
 	for _, o := range s.upstreams {
 		changes = append(changes, Change{Object: o})
 	}
+	provenMS := s.provenMS(q.Kind)
 	s.mu.Unlock()
-	if q.Kind != Upstreams || known.verified.IsZero() {
+	if q.Kind != Upstreams || known.reported.IsZero() {
 		return Reply{}, errNothingNewer
 	}
 	packed, err := packChanges(noticeChanges(changes))
@@ -100,6 +102,6 @@
 	}
 	return Reply{
 		Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from, Packed: packed},
-		AgeMS:  s.clock.Since(known.verified).Milliseconds(),
+		AgeMS:  s.clock.Since(known.reported).Milliseconds(), ProvenMS: provenMS,
 	}, nil
 }
--- a/pkg/storeview/copy_test.go
+++ b/pkg/storeview/copy_test.go
@@ -79,7 +79,7 @@
 			if !tc.copied {
 				return
 			}
-			if f.from != root.from || f.digest() != root.digest() || f.verified.IsZero() {
+			if f.from != root.from || f.digest() != root.digest() || f.reported.IsZero() {
 				t.Errorf("the copy is at revision %d, want %d, and equal", f.from, root.from)
 			}
 			r, err := parent.whole(Query{Kind: Upstreams, All: true})
--- a/pkg/storeview/current_test.go
+++ b/pkg/storeview/current_test.go
@@ -85,8 +85,12 @@
 // is announced.
 func TestCurrent(t *testing.T) {
 	_, listener, s := fleet(t)
-	if !s.Current(Configurations) {
-		t.Fatal("a node that gets notices is not current")
+	before := listener.calls.Load()
+	if !s.AwaitCurrent(context.Background(), Configurations, effectiveIn/4) {
+		t.Fatal("a node that reaches the reader is not current")
+	}
+	if calls := listener.calls.Load() - before; calls > 0 {
+		t.Errorf("%d calls of the store for a proof that the reader has", calls)
 	}
 	s.announced[Configurations].Store(1000)
 	if s.Current(Configurations) {
@@ -94,7 +98,9 @@
 	}
 	s.announced[Configurations].Store(0)
 
-	s.opts.Peers.(*hubPeer).hub.peers[0].dropNotices.Store(true)
+	reader := s.opts.Peers.(*hubPeer).hub.peers[0]
+	reader.dropNotices.Store(true)
+	reader.unreachable.Store(true)
 	listener.unavailable.Store(true)
 	time.Sleep(effectiveIn)
 	if s.AwaitCurrent(context.Background(), Configurations, 50*time.Millisecond) {
--- a/pkg/storeview/digest_test.go
+++ b/pkg/storeview/digest_test.go
@@ -133,8 +133,8 @@
 			for len(s.notices[kind]) > 0 {
 				follower.applyNotice(<-s.notices[kind])
 			}
-			if follower.verified.After(time.Now()) {
-				t.Fatalf("%s is confirmed %s ahead of now", kind, time.Until(follower.verified))
+			if follower.reported.After(time.Now()) {
+				t.Fatalf("%s is confirmed %s ahead of now", kind, time.Until(follower.reported))
 			}
 		}
 	})
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -55,15 +55,16 @@
 	latency     time.Duration
 	callTimeout time.Duration
 	failedSince time.Time
-	// verified is when the state was last confirmed as the newest, and source by what.
-	verified time.Time
-	source   source
+	// reported is when the state was last said to be the newest. It decides when to
+	// call the store. Delays of messages and calls don't count in it, so it is no
+	// proof; see Service.Current.
+	reported time.Time
 }
 
 // follow lists and watches one kind until ctx ends.
 func (s *Service) follow(ctx context.Context, kind Kind) {
 	f := &follower{service: s, kind: kind, callTimeout: minCallTimeout}
-	coalesce := time.Duration(coalesceShare * float64(s.opts.EffectiveIn[kind]))
+	coalesce := s.coalesce(kind)
 	f.copyFromParent(ctx)
 	for ctx.Err() == nil {
 		f.consumeNotices(ctx)
@@ -80,6 +81,8 @@
 			if rest := coalesce - s.clock.Since(start); rest > 0 {
 				_ = s.clock.Sleep(ctx, rest) // Ends early only with ctx, which the loop checks.
 			}
+		case errors.Is(err, errCallRequested):
+			f.latency = 0
 		case errors.Is(err, ErrHistoryLost):
 			s.log.Info(eventlog.HistoryLost, "kind", kind.String(), "revision", f.from)
 			f.listed = false
@@ -95,10 +98,18 @@
 	}
 }
 
+// coalesce is the shortest time between two watches of a kind.
+func (s *Service) coalesce(kind Kind) time.Duration {
+	return time.Duration(coalesceShare * float64(s.opts.EffectiveIn[kind]))
+}
+
 // call makes the follower's next call to the store.
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
 	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
+	if !f.listed || f.latency == 0 {
+		s.dropCallRequest(f.kind) // This call is the one that was requested.
+	}
 	var changes []Change
 	by := sourceWatch
 	switch {
@@ -106,7 +117,7 @@
 		var from topology.Revision
 		by = sourceList
 		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
-			f.from, f.listed, f.latency, f.changed = from, true, max(s.clock.Since(start), 1), from
+			f.from, f.changed, f.listed, f.latency = from, from, true, max(s.clock.Since(start), 1)
 		}
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
@@ -117,25 +128,42 @@
 			f.latency = 0
 			return f.call(ctx)
 		}
-		f.from, changes, err = s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
+		changes, err = f.waitForChanges(ctx)
 	}
 	if err == nil {
 		s.confirm(f.kind, began)
-		// An answer confirms the state at the time of the answer; a change
-		// missed by a watch is found by the next call.
-		f.verified, f.source = s.clock.Now(), by
+		// The answer may be late, and a watch may have missed changes.
+		s.prove(f.kind, began, by)
+		f.reported = s.clock.Now()
 		if len(changes) > 0 {
 			f.changed = f.from
 		}
 		f.recordLatestProgress()
 		s.mu.Lock()
-		s.storeProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value(), f.source}
+		s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
 		s.mu.Unlock()
 		f.publishChanges(before, base, changes)
 	}
 	return err
 }
 
+// waitForChanges watches the kind until it changes or the wait has passed. It fails
+// with errCallRequested if a call without a wait is requested meanwhile.
+func (f *follower) waitForChanges(ctx context.Context) ([]Change, error) {
+	s := f.service
+	ctx, cancel := s.cancelOnRequest(ctx, f.kind)
+	defer cancel()
+	next, changes, err := s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
+	switch {
+	case errors.Is(context.Cause(ctx), errCallRequested) && err != nil:
+		return nil, errCallRequested
+	case err != nil:
+		return nil, err
+	}
+	f.from = next
+	return changes, nil
+}
+
 // missesSeveral reports whether the store may have several configurations that
 // this node does not know. A watch returns each of them whole, a list only the
 // last: after a series of changes, many nodes that watch from the revision before
@@ -162,10 +190,10 @@
 // finds: half-way between the last confirmation and now. A watch that waits
 // returns changes at once. It returns zero if nothing is known.
 func (f *follower) changedBetween(now time.Time) time.Time {
-	if f.verified.IsZero() {
+	if f.reported.IsZero() {
 		return time.Time{}
 	}
-	return now.Add(-min(now.Sub(f.verified)/2, maxAppearedLead))
+	return now.Add(-min(now.Sub(f.reported)/2, maxAppearedLead))
 }
 
 // recordLatestProgress records the revision up to which this node knows the
@@ -174,7 +202,7 @@
 	s := f.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.latestProgress[f.kind] = progress{f.from, f.changed, f.verified, s.digests[f.kind].value(), f.source}
+	s.latestProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
 }
 
 // digest returns the digest of the kind's current state.
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -39,15 +39,6 @@
 	// unknown; the receiver sets them.
 	ageMS  int64
 	digest uint64
-	// isReply is set by the receiver of a Reply.
-	isReply bool
-}
-
-func (n *Notice) source() source {
-	if n.isReply {
-		return sourceReply
-	}
-	return sourceNotice
 }
 
 // Readers is the number of nodes that read the store for all: one can fail and
@@ -106,6 +97,9 @@
 	Joined() (joined, registered int)
 	// Query sends a query to a nearby node.
 	Query(ctx context.Context, q Query) (Reply, error)
+	// QueryReader sends a query to the first reader. It returns ErrNoReader if that is
+	// this node, or none is known.
+	QueryReader(ctx context.Context, q Query) (Reply, error)
 	// QueryParent sends a query to this node's parent in the tree of its failure
 	// domain, over which a configuration spreads. It returns ErrNoParent at the
 	// root, which reads the store.
@@ -205,16 +199,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.storeProgress[kind]
-	age := s.clock.Since(p.verified)
-	return KnownRevision{Kind: kind, Revision: p.from, Changed: p.changed, Digest: p.digest, AgeMS: age.Milliseconds()}, !p.verified.IsZero() && age < s.opts.EffectiveIn[kind]
+	age := s.clock.Since(p.reported)
+	return KnownRevision{Kind: kind, Revision: p.from, Changed: p.changed, Digest: p.digest, AgeMS: age.Milliseconds()}, !p.reported.IsZero() && age < s.opts.EffectiveIn[kind]
 }
 
 // progress is the revision up to which a follower knows its kind.
 type progress struct {
 	from, changed topology.Revision
-	verified      time.Time
+	reported      time.Time
 	digest        uint64
-	source        source
 }
 
 func noticeChanges(changes []Change) []NoticeChange {
@@ -297,6 +290,9 @@
 		case <-ctx.Done():
 			return
 		case <-paused:
+		case <-s.callRequests[f.kind]:
+			f.latency = 0
+			return
 		case <-s.clock.After(left):
 		case n := <-s.notices[f.kind]:
 			if !s.unconfirmed(f.kind) && !f.applyNotice(n) {
@@ -324,7 +320,7 @@
 		share = standbyShare + standbyStep*float64(rank-1)
 	}
 	limit := time.Duration(share * float64(f.service.opts.EffectiveIn[f.kind]))
-	return limit - f.service.clock.Since(f.verified)
+	return limit - f.service.clock.Since(f.reported)
 }
 
 // applyNotice applies a notice. It returns false when the store must be called.
@@ -343,8 +339,8 @@
 		return false
 	}
 	s.lastAnswer[f.kind].Store(s.clock.Now().UnixNano())
-	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.verified) {
-		f.verified, f.source = at, n.source()
+	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.reported) {
+		f.reported = at
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from && f.failedSince.IsZero() {
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -88,6 +88,8 @@
 	published atomic.Int64
 	// dropNotices discards the notices that the service sends.
 	dropNotices atomic.Bool
+	// unreachable keeps the service from answering queries for proofs.
+	unreachable atomic.Bool
 }
 
 func (h *hub) join(rank int) *hubPeer {
@@ -157,6 +159,25 @@
 	return Reply{}, errUnavailable
 }
 
+// QueryReader asks the first reader, unless that is unreachable.
+func (s *hubPeer) QueryReader(ctx context.Context, q Query) (Reply, error) {
+	if s.rank == 0 {
+		return Reply{}, ErrNoReader
+	}
+	s.hub.mu.Lock()
+	var answer func(context.Context, Query) (Reply, error)
+	for i, p := range s.hub.peers {
+		if p.rank == 0 && !p.unreachable.Load() {
+			answer = s.hub.answers[i]
+		}
+	}
+	s.hub.mu.Unlock()
+	if answer == nil {
+		return Reply{}, errUnavailable
+	}
+	return answer(ctx, q)
+}
+
 // QueryParent asks the node with the index parent.
 func (s *hubPeer) QueryParent(ctx context.Context, q Query) (Reply, error) {
 	if s.parent == nil {
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -21,6 +21,9 @@
 	// WaitMS is how long the receiver waits for a later revision if it knows
 	// none yet.
 	WaitMS int64 `cbor:"3,keyasint,omitempty"`
+	// Prove requests a proof of the state with the digest; see Service.prove.
+	Prove  bool   `cbor:"6,keyasint,omitempty"`
+	Digest uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Query.
@@ -28,6 +31,9 @@
 	Notice Notice `cbor:"1,keyasint"`
 	// AgeMS is the time since the store confirmed the notice's state.
 	AgeMS int64 `cbor:"2,keyasint"`
+	// ProvenMS is the age of the sender's proof that the state is the newest, rounded
+	// up to at least 1; zero is no proof.
+	ProvenMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // peerQueryTimeout bounds a query to another node; the answer is a configuration
@@ -59,6 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(parentTimeoutShare*limit))
 	defer cancel()
 	wait := time.Duration(parentWaitShare * limit)
+	asked := s.pauses.now()
 	r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, After: f.from, Packed: true, WaitMS: wait.Milliseconds()})
 	if err != nil {
 		if !errors.Is(err, ErrNoParent) {
@@ -66,14 +73,19 @@
 		}
 		return false
 	}
-	return f.applyReply(r)
+	return f.applyReply(asked, r)
 }
 
-// applyReply applies the answer of another node.
-func (f *follower) applyReply(r Reply) bool {
+// applyReply applies the answer of another node to a query sent at a time of the clock
+// of pauses.
+func (f *follower) applyReply(asked time.Duration, r Reply) bool {
 	n := r.Notice
-	n.ageMS, n.isReply = r.AgeMS, true
-	return n.Kind == f.kind && n.To > f.from && f.applyNotice(n)
+	n.ageMS = r.AgeMS
+	if n.Kind != f.kind || n.To <= f.from || !f.applyNotice(n) {
+		return false
+	}
+	f.service.proveByReply(f.kind, asked, r)
+	return true
 }
 
 // queryPeer fetches a configuration announced by notices from another node when
@@ -85,12 +97,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
+	asked := s.pauses.now()
 	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, After: f.from, Packed: true})
 	if err != nil {
 		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
 		return false
 	}
-	return f.applyReply(r)
+	return f.applyReply(asked, r)
 }
 
 var errNothingNewer = errors.New("no newer revision known")
@@ -104,7 +117,10 @@
 func (s *Service) answer(ctx context.Context, q Query) (Reply, error) {
 	until := s.clock.Now().Add(min(time.Duration(q.WaitMS)*time.Millisecond, peerQueryTimeout))
 	newest := s.newest
-	if q.All {
+	switch {
+	case q.Prove:
+		newest = s.proofFor
+	case q.All:
 		newest = s.whole
 	}
 	for {
@@ -123,6 +139,10 @@
 func (s *Service) newest(q Query) (Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.newestLocked(q)
+}
+
+func (s *Service) newestLocked(q Query) (Reply, error) {
 	known := s.latestProgress[Configurations]
 	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 {
 		return Reply{}, errNothingNewer
@@ -134,5 +154,5 @@
 	} else {
 		n.Changes, n.Complete = changes, true
 	}
-	return Reply{Notice: n, AgeMS: s.clock.Since(known.verified).Milliseconds()}, nil
+	return Reply{Notice: n, AgeMS: s.clock.Since(known.reported).Milliseconds(), ProvenMS: s.provenMS(q.Kind)}, nil
 }
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -133,13 +133,21 @@
 	// confirmed is the start of the latest successful call of each kind, in
 	// nanoseconds of the clock of pauses.
 	confirmed [Nodes]atomic.Int64
-	pauses    pauses
-	backoff   *sharedBackoff
+	// proofs are the latest proofs that the view of each kind is the newest. mu
+	// guards them.
+	proofs [Nodes]proof
+	// proofRequests are kinds of which requests await a proof, and callRequests tell
+	// the followers to call the store for one.
+	proofRequests chan Kind
+	callRequests  [Nodes]chan struct{}
+	pauses        pauses
+	backoff       *sharedBackoff
 }
 
 // New returns a service with an empty view.
 func New(o Options) *Service {
 	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), backoff: newSharedBackoff(), upstreams: make(map[string]Object)}
+	s.proofRequests = make(chan Kind, Nodes)
 	s.view.Store(&topology.View{})
 	s.pauses.now, s.pauses.next = o.BootTime, make(chan struct{})
 	if s.pauses.now == nil {
@@ -148,6 +156,7 @@
 	s.pauses.endOfLast() // From here on a pause is noticed.
 	for kind := range s.notices {
 		s.notices[kind] = make(chan Notice, noticeQueue)
+		s.callRequests[kind] = make(chan struct{}, 1)
 	}
 	return s
 }
@@ -183,6 +192,10 @@
 		s.notePauses(ctx)
 		return nil
 	})
+	t.Go(func() error {
+		s.proveLoop(ctx)
+		return nil
+	})
 	if s.opts.Peers != nil {
 		t.Go(func() error {
 			s.publishLoop(ctx)
--- a/pkg/storeview/tracker_test.go
+++ b/pkg/storeview/tracker_test.go
@@ -123,14 +123,14 @@
 	now := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		name     string
-		verified time.Time
+		reported time.Time
 		want     time.Time
 	}{
 		{"first list", time.Time{}, time.Time{}},
 		{"short outage", now.Add(-2 * time.Second), now.Add(-time.Second)},
 		{"long outage", now.Add(-time.Minute), now.Add(-maxAppearedLead)},
 	} {
-		f := &follower{verified: tc.verified}
+		f := &follower{reported: tc.reported}
 		if got := f.changedBetween(now); !got.Equal(tc.want) {
 			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
 		}
