Store view: a watch covers the time that the one before it may have missed

Callers would see: a change never in force until the next one. A watch that misses a change ends empty, at a revision of the store behind that change; the next watch began there, so the change was never found, and a reader told the others that nothing had changed. 'Watches hear nothing while changes are made' is a fault of the platform.

An empty watch now only shows that there was no change up to the answer before it, which it must have reported at its start; the next one begins there. That is also the revision that is published. It costs no call.

--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -55,6 +55,8 @@
 	latency     time.Duration
 	callTimeout time.Duration
 	failedSince time.Time
+	// answered is the store revision of the latest answer.
+	answered topology.Revision
 	// reported is when the state was last said to be the newest. It decides when to
 	// call the store. Delays of messages and calls don't count in it, so it is no
 	// proof; see Service.Current.
@@ -117,11 +119,11 @@
 		var from topology.Revision
 		by = sourceList
 		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
-			f.from, f.changed, f.listed, f.latency = from, from, true, max(s.clock.Since(start), 1)
+			f.from, f.answered, f.changed, f.listed, f.latency = from, from, from, true, max(s.clock.Since(start), 1)
 		}
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
-			f.latency = max(s.clock.Since(start), 1)
+			f.answered, f.latency = f.from, max(s.clock.Since(start), 1)
 		}
 	default:
 		if s.unconfirmed(f.kind) {
@@ -159,8 +161,15 @@
 		return nil, errCallRequested
 	case err != nil:
 		return nil, err
+	case len(changes) > 0:
+		f.from = next
+	default:
+		// A watch reports the changes that it finds at its start, but may miss those
+		// of its wait. So it has shown that there was none up to the answer before it,
+		// and the next one begins there.
+		f.from = max(f.from, f.answered)
 	}
-	f.from = next
+	f.answered = next
 	return changes, nil
 }
 
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -328,10 +328,11 @@
 	s := f.service
 	n.unpack()
 	switch {
-	case n.To < f.from:
-		return true // From a reader that lags; it has nothing new.
 	case n.digest != 0 && n.digest == f.digest():
 		// This node has the same objects, also if it has not read up to n.From.
+		n.To = max(n.To, f.from)
+	case n.To < f.from:
+		return true // From a reader that lags; it has nothing new.
 	case n.To > f.from && (!n.Complete || n.From > f.from || !f.expand(&n)):
 		f.latency = 0 // Makes the next call without a wait.
 		f.pending = max(f.pending, n.To)
