Store view: a notice of other objects confirms nothing

A notice at this node's revision, or one that says that nothing has changed since, confirmed the node's state even if the sender's digest of the objects was another: one of the two has missed a change. The node now lists the kind, once for each digest, and logs 'nodes have different objects'. A list that fails keeps the revision, so notices still apply.

--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -14,6 +14,7 @@
 	StoreLost      = "store lost"
 	StoreRegained  = "store regained"
 	HistoryLost    = "store history lost"
+	StatesDiffer   = "nodes have different objects"
 	TooManyChanges = "store changes too large"
 	NoticeFailed   = "notice not sent"
 	ObjectRefused  = "object refused"
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -61,6 +61,10 @@
 	// call the store. Delays of messages and calls don't count in it, so it is no
 	// proof; see Service.Current.
 	reported time.Time
+	// differing is the latest digest of another node that was not this node's;
+	// relistDue is set until the list that it requires.
+	differing uint64
+	relistDue bool
 }
 
 // follow lists and watches one kind until ctx ends.
@@ -109,17 +113,17 @@
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
 	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
-	if !f.listed || f.latency == 0 {
+	if !f.listed || f.relistDue || f.latency == 0 {
 		s.dropCallRequest(f.kind) // This call is the one that was requested.
 	}
 	var changes []Change
 	by := sourceWatch
 	switch {
-	case !f.listed || f.missesSeveral():
+	case !f.listed || f.relistDue || f.missesSeveral():
 		var from topology.Revision
 		by = sourceList
 		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
-			f.from, f.answered, f.changed, f.listed, f.latency = from, from, from, true, max(s.clock.Since(start), 1)
+			f.from, f.answered, f.changed, f.listed, f.relistDue, f.latency = from, from, from, true, false, max(s.clock.Since(start), 1)
 		}
 	case f.latency == 0:
 		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -313,6 +313,17 @@
 	}
 }
 
+// relist makes the next call a list because another node has other objects. It returns
+// false if that was done for the same digest before: then the other node is wrong.
+func (f *follower) relist(digest uint64) bool {
+	if f.differing == digest {
+		return false
+	}
+	f.service.log.Warn(eventlog.StatesDiffer, "kind", f.kind.String(), "revision", f.from)
+	f.differing, f.relistDue = digest, true
+	return true
+}
+
 // freshFor is the time until the state is stale and the store must be called.
 func (f *follower) freshFor() time.Duration {
 	share := maxNoticeAgeShare
@@ -333,6 +344,9 @@
 		n.To = max(n.To, f.from)
 	case n.To < f.from:
 		return true // From a reader that lags; it has nothing new.
+	case n.digest != 0 && n.From <= f.from:
+		// Nothing has changed since this node's revision, yet the objects differ.
+		return !f.relist(n.digest)
 	case n.To > f.from && (!n.Complete || n.From > f.from || !f.expand(&n)):
 		f.latency = 0 // Makes the next call without a wait.
 		f.pending = max(f.pending, n.To)
