Store view: no denial while the newest configuration can't be decoded

A configuration that fails to decode, or on which the decoder panics, moved the revision on while the view stayed at the one before, and the node counted as current: it denied what the newest one allows. It is not current until a later one is decoded.

--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -46,14 +46,15 @@
 )
 
 // Current reports whether the view of a kind includes all changes that must have taken
-// effect: it was proven to be the newest within the bound, and no node has announced a
-// later state. A view that is not current proves nothing about what does not exist.
+// effect: it was proven to be the newest within the bound, no node has announced a
+// later state, and this node could decode it. A view that is not current proves
+// nothing about what does not exist.
 func (s *Service) Current(kind Kind) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.proofs[kind]
 	return p.source != "" && s.pauses.now()-p.at < s.opts.EffectiveIn[kind] &&
-		topology.Revision(s.announced[kind].Load()) <= s.latestProgress[kind].from
+		topology.Revision(s.announced[kind].Load()) <= s.latestProgress[kind].from && (kind != Configurations || s.undecoded == 0)
 }
 
 // AwaitCurrent waits until the view of a kind is current, at most for the given time,
@@ -168,6 +169,18 @@
 	}
 }
 
+// noteDecoded records whether the newest configuration could be decoded. The caller
+// holds the lock.
+func (s *Service) noteDecoded(kind Kind, c Change, decoded bool) {
+	switch {
+	case kind != Configurations || c.Deleted:
+	case !decoded:
+		s.undecoded = max(s.undecoded, c.Object.Revision)
+	case c.Object.Revision > s.undecoded:
+		s.undecoded = 0
+	}
+}
+
 // cancelOnRequest returns a context that ends with errCallRequested when a call without
 // a wait is requested.
 func (s *Service) cancelOnRequest(ctx context.Context, kind Kind) (context.Context, func()) {
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -133,9 +133,11 @@
 	// confirmed is the start of the latest successful call of each kind, in
 	// nanoseconds of the clock of pauses.
 	confirmed [Nodes]atomic.Int64
-	// proofs are the latest proofs that the view of each kind is the newest. mu
-	// guards them.
-	proofs [Nodes]proof
+	// proofs are the latest proofs that the view of each kind is the newest, and
+	// undecoded the revision of a configuration that this node could not decode, if it
+	// has none after it. mu guards both.
+	proofs    [Nodes]proof
+	undecoded topology.Revision
 	// proofRequests are kinds of which requests await a proof, and callRequests tell
 	// the followers to call the store for one.
 	proofRequests chan Kind
@@ -293,6 +295,7 @@
 	s.digests[kind].apply(c)
 	defer func() {
 		if p := recover(); p != nil {
+			s.noteDecoded(kind, c, false)
 			s.log.Error(eventlog.ObjectRefused, "kind", kind.String(), "object", c.Object.Name, "revision", c.Object.Revision,
 				"panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
@@ -302,6 +305,7 @@
 		var config *topology.Config
 		var ok bool
 		config, ok, err = s.opts.Decoder.Config(c.Object)
+		s.noteDecoded(kind, c, err == nil)
 		if err == nil && ok && !c.Deleted {
 			if changed = s.tracker.SetConfig(config); changed {
 				s.config = c.Object
