Store view: proofs are asked of the node that reports the state

The first reader may itself be rejected by the store or cut off from it, while another one reads it and sends the notices.

Notices name their sender now, and a node asks the one whose notices last reported the state as the newest; one that gives no proof isn't asked again until the next notice.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -165,7 +165,10 @@
 }
 
 // Publish implements storeview.Peers.
-func (n notices) Publish(notice storeview.Notice) error { return n.msgr.Flood(kindNotice, notice) }
+func (n notices) Publish(notice storeview.Notice) error {
+	notice.Sender = n.Self()
+	return n.msgr.Flood(kindNotice, notice)
+}
 
 // Receive implements storeview.Peers.
 func (n notices) Receive(handle func(notice storeview.Notice)) {
@@ -196,13 +199,9 @@
 	return len(n.members.Live()), n.registry.nodeCount()
 }
 
-// QueryReader implements storeview.Peers.
-func (n notices) QueryReader(ctx context.Context, q storeview.Query) (reply storeview.Reply, err error) {
-	ids := readers(n.members.Reachable())
-	if len(ids) == 0 || ids[0] == n.msgr.Self() {
-		return reply, storeview.ErrNoReader
-	}
-	err = n.msgr.Request(ctx, ids[0], kindQuery, q, &reply)
+// QueryNode implements storeview.Peers.
+func (n notices) QueryNode(ctx context.Context, sender string, q storeview.Query) (reply storeview.Reply, err error) {
+	err = n.msgr.Request(ctx, peer.NodeID(sender), kindQuery, q, &reply)
 	return reply, err
 }
 
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -29,18 +29,15 @@
 )
 
 const (
-	// readerQueryTimeout bounds the query of a proof. It leaves a denied request time
+	// proofQueryTimeout bounds the query of a proof. It leaves a denied request time
 	// for a call of the store.
-	readerQueryTimeout = 250 * time.Millisecond
+	proofQueryTimeout = 250 * time.Millisecond
 	// proofPoll is the longest pause between two looks at the view by a request that
 	// awaits a proof.
 	proofPoll = 10 * time.Millisecond
 )
 
 var (
-	// ErrNoReader is returned to the first reader.
-	ErrNoReader = errors.New("this node is the first reader")
-
 	errNotProven     = errors.New("the state is not proven")
 	errCallRequested = errors.New("a call without a wait is requested")
 )
@@ -73,8 +70,37 @@
 	return true
 }
 
-// proveLoop gets the proofs that requests await, from the first reader or else by a
-// call of the store.
+// reporter is the node whose notices last reported a kind's state as the newest, and
+// that time by its account. It reads the store, so it is likely to have a proof.
+type reporter struct {
+	node string
+	at   time.Duration
+}
+
+// noteReporter records the sender of a notice of known revisions.
+func (s *Service) noteReporter(sender string, k KnownRevision) {
+	if sender == "" || k.Kind < Configurations || k.Kind > Evacuations {
+		return
+	}
+	at := s.pauses.now() - time.Duration(max(k.AgeMS, 0))*time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := &s.reporters[k.Kind]; at > r.at {
+		*r = reporter{sender, at}
+	}
+}
+
+// dropReporter forgets a reporter that gave no proof, until the next notice.
+func (s *Service) dropReporter(kind Kind, r reporter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reporters[kind] == r {
+		s.reporters[kind] = reporter{}
+	}
+}
+
+// proveLoop gets the proofs that requests await, from the node that reports the state
+// or else by a call of the store.
 func (s *Service) proveLoop(ctx context.Context) {
 	for {
 		select {
@@ -84,7 +110,7 @@
 			if s.Current(kind) {
 				continue
 			}
-			if !s.queryReader(ctx, kind) {
+			if !s.queryReporter(ctx, kind) {
 				select {
 				case s.callRequests[kind] <- struct{}{}:
 				default: // Requested already.
@@ -97,20 +123,22 @@
 	}
 }
 
-// queryReader asks the first reader for a proof, or for the state that this node
-// lacks. It returns false if the store has to be called.
-func (s *Service) queryReader(ctx context.Context, kind Kind) bool {
-	if s.opts.Peers == nil {
-		return false
-	}
+// queryReporter asks the node that reports the state for a proof, or for the state that
+// this node lacks. It returns false if the store has to be called.
+func (s *Service) queryReporter(ctx context.Context, kind Kind) bool {
 	s.mu.Lock()
+	reporter := s.reporters[kind]
 	q := Query{Kind: kind, After: s.latestProgress[kind].from, Packed: true, Prove: true, Digest: s.digests[kind].value()}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, readerQueryTimeout)
-	defer cancel()
 	asked := s.pauses.now()
-	r, err := s.opts.Peers.QueryReader(ctx, q)
+	if reporter.node == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofQueryTimeout)
+	defer cancel()
+	r, err := s.opts.Peers.QueryNode(ctx, reporter.node, q)
 	if err != nil || r.Notice.Kind != kind {
+		s.dropReporter(kind, reporter)
 		return false
 	}
 	if r.Notice.To > q.After && len(r.Notice.Packed) > 0 {
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -32,6 +32,9 @@
 	// nodes of earlier releases take the notice for one without changes.
 	Packed []byte `cbor:"9,keyasint,omitempty"`
 
+	// Sender is the node that has published the notice; earlier releases name none.
+	Sender string `cbor:"10,keyasint,omitempty"`
+
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
 
@@ -88,7 +91,8 @@
 	// they get no notices from those before them. All other nodes have the rank
 	// Readers or more and read the store themselves when they get no notices.
 	Rank() int
-	// Publish sends a notice to all nodes; it does not block.
+	// Publish names this node as the sender of a notice and sends it to all nodes; it
+	// does not block.
 	Publish(n Notice) error
 	// Receive registers the handler of notices.
 	Receive(handle func(n Notice))
@@ -97,9 +101,8 @@
 	Joined() (joined, registered int)
 	// Query sends a query to a nearby node.
 	Query(ctx context.Context, q Query) (Reply, error)
-	// QueryReader sends a query to the first reader. It returns ErrNoReader if that is
-	// this node, or none is known.
-	QueryReader(ctx context.Context, q Query) (Reply, error)
+	// QueryNode sends a query to the sender of a notice.
+	QueryNode(ctx context.Context, sender string, q Query) (Reply, error)
 	// QueryParent sends a query to this node's parent in the tree of its failure
 	// domain, over which a configuration spreads. It returns ErrNoParent at the
 	// root, which reads the store.
@@ -248,6 +251,7 @@
 		if from == 0 {
 			from = k.Revision // Sent by a release without this field.
 		}
+		s.noteReporter(n.Sender, k)
 		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, ageMS: k.AgeMS, digest: k.Digest})
 	}
 	if len(n.Known) == 0 {
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,6 +110,7 @@
 	if s.dropNotices.Load() {
 		return nil
 	}
+	n.Sender = strconv.Itoa(s.index)
 	s.published.Add(1)
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
@@ -159,22 +161,16 @@
 	return Reply{}, errUnavailable
 }
 
-// QueryReader asks the first reader, unless that is unreachable.
-func (s *hubPeer) QueryReader(ctx context.Context, q Query) (Reply, error) {
-	if s.rank == 0 {
-		return Reply{}, ErrNoReader
-	}
+// QueryNode asks the peer with the index that is its name, unless it is unreachable.
+func (s *hubPeer) QueryNode(ctx context.Context, sender string, q Query) (Reply, error) {
 	s.hub.mu.Lock()
-	var answer func(context.Context, Query) (Reply, error)
-	for i, p := range s.hub.peers {
-		if p.rank == 0 && !p.unreachable.Load() {
-			answer = s.hub.answers[i]
-		}
-	}
-	s.hub.mu.Unlock()
-	if answer == nil {
+	i, err := strconv.Atoi(sender)
+	if err != nil || s.hub.peers[i].unreachable.Load() || s.hub.answers[i] == nil {
+		s.hub.mu.Unlock()
 		return Reply{}, errUnavailable
 	}
+	answer := s.hub.answers[i]
+	s.hub.mu.Unlock()
 	return answer(ctx, q)
 }
 
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -138,6 +138,9 @@
 	// has none after it. mu guards both.
 	proofs    [Nodes]proof
 	undecoded topology.Revision
+	// reporters are the nodes that report the newest state of each kind. mu guards
+	// them.
+	reporters [Nodes]reporter
 	// proofRequests are kinds of which requests await a proof, and callRequests tell
 	// the followers to call the store for one.
 	proofRequests chan Kind
