Soak: nodes are asked for added routes while faults run

Nodes advertise a UDP proxy now (setting peer_advertise, which hosts behind address translation need as well), which delays or cuts messages between nodes and domains; a node is cut off from all while messages are on their way to it. Answers of the store come up to 2 s late; watches miss a configuration, then the history is dropped and they are cut. Three callers ask every node for routes whose configuration was acknowledged 2.5 s before or earlier: no node may deny one at any time, and nodes in touch must know it.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -105,7 +105,7 @@
 	}
 	store := platform.NewStore(s.Store.Address)
 	n.registry = newRegistry(store, s.Host, entry{
-		Fingerprint: peer.Fingerprint(pair.Certificate[0]), PeerAddress: s.PeerAddress(),
+		Fingerprint: peer.Fingerprint(pair.Certificate[0]), PeerAddress: s.AdvertisedPeerAddress(),
 	})
 	transport := peer.NewTransport(peer.Options{
 		Self: peer.NodeID(id), Listen: s.PeerAddress(),
@@ -113,7 +113,7 @@
 	})
 	n.members = membership.New(membership.Options{
 		Self: peer.Member{
-			PeerAddress: s.PeerAddress(), EntryAddress: s.Entry, AdminAddress: s.Ready,
+			PeerAddress: s.AdvertisedPeerAddress(), EntryAddress: s.Entry, AdminAddress: s.Ready,
 			Region: s.Region, FailureDomain: s.FailureDomain, Fingerprint: n.registry.own.Fingerprint,
 		},
 		Seeds: s.PeerSeeds(), SeedSource: n.registry,
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -26,6 +26,9 @@
 	// TCP port of metrics; both are the same on all hosts.
 	PeerPort    int `toml:"peer_port"`
 	MetricsPort int `toml:"metrics_port"`
+	// PeerAdvertise is the UDP address at which other nodes reach this one, if it is
+	// not PeerAddress, as behind address translation.
+	PeerAdvertise string `toml:"peer_advertise"`
 	// Seeds are addresses of other nodes; their ports are ignored.
 	Seeds []string `toml:"seeds"`
 	// Heartbeat is the interval at which upstreams renew their entries.
@@ -135,6 +138,9 @@
 	c.required("ip", r.IP)
 	c.port("peer_port", r.PeerPort)
 	c.port("metrics_port", r.MetricsPort)
+	if r.PeerAdvertise != "" {
+		c.address("peer_advertise", r.PeerAdvertise, false)
+	}
 	c.bounds(&r.Bounds)
 	if r.Limits.MemoryMB < 0 {
 		c.fail("limits.memory_mb", "limits.memory_mb is below zero")
@@ -181,9 +187,17 @@
 	}
 }
 
-// PeerAddress returns the node's address for messages between nodes.
+// PeerAddress returns the address on which the node listens for messages between nodes.
 func (r *Router) PeerAddress() string { return net.JoinHostPort(r.IP, strconv.Itoa(r.PeerPort)) }
 
+// AdvertisedPeerAddress returns the address at which other nodes reach this one.
+func (r *Router) AdvertisedPeerAddress() string {
+	if r.PeerAdvertise != "" {
+		return r.PeerAdvertise
+	}
+	return r.PeerAddress()
+}
+
 // PeerSeeds returns the seeds with PeerPort as their port.
 func (r *Router) PeerSeeds() []string {
 	seeds := make([]string, 0, len(r.Seeds))
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -22,6 +22,7 @@
 	directoryPort
 	metricsPort
 	peerPort
+	peerProxyPort
 )
 
 // node is a host of the fleet. Restarts replace its process.
@@ -42,7 +43,7 @@
 	log          bytes.Buffer
 }
 
-func newNode(t *testing.T, slot, index int, store string) *node {
+func newNode(t *testing.T, slot, index int, store string, peers *peerNet) *node {
 	t.Helper()
 	n := &node{
 		t: t, host: fmt.Sprintf("host-%d", index), ip: fmt.Sprintf("127.0.%d.%d", 3+slot, 10+index), domain: fmt.Sprintf("z%d", 1+index%2),
@@ -52,7 +53,7 @@
 	settings := platformtest.Node{
 		Host: n.host, Domain: n.domain, IP: n.ip,
 		Entry: n.address(entryPort), Ready: n.address(readyPort), Directory: n.address(directoryPort),
-		PeerPort: peerPort, MetricsPort: metricsPort, Store: n.storeProxy.address(), Seeds: "[]",
+		PeerPort: peerPort, PeerAdvertise: peers.add(n.ip, n.domain, peerPort, peerProxyPort), MetricsPort: metricsPort, Store: n.storeProxy.address(), Seeds: "[]",
 	}.Settings()
 	if err := os.WriteFile(n.file, settings, 0o600); err != nil {
 		t.Fatal(err)
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -18,7 +18,7 @@
 	// connection that has discarded data remains stalled in that direction.
 	refuse bool
 	drop   [2]bool
-	delay  time.Duration
+	delay  [2]time.Duration
 	conns  map[*net.TCPConn]bool
 }
 
@@ -91,7 +91,7 @@
 		n, err := from.Read(buffer)
 		p.mu.Lock()
 		stalled = stalled || p.drop[direction]
-		delay := p.delay
+		delay := p.delay[direction]
 		p.mu.Unlock()
 		if n > 0 && !stalled {
 			time.Sleep(delay)
@@ -125,10 +125,13 @@
 // injectFault sets a random fault and returns a description of it.
 func (p *faultProxy) injectFault(random *rand.Rand) string {
 	p.mu.Lock()
-	kind := random.Intn(5)
+	kind := random.Intn(len(faultNames))
 	switch kind {
 	case 0:
-		p.delay = time.Duration(20+random.Intn(200)) * time.Millisecond
+		delay := time.Duration(20+random.Intn(200)) * time.Millisecond
+		p.delay = [2]time.Duration{delay, delay}
+	case 5:
+		p.delay[fromTarget] = time.Duration(200+random.Intn(1800)) * time.Millisecond
 	case 1, 2:
 		p.drop[kind-1] = true
 	case 3:
@@ -140,12 +143,21 @@
 	if kind == 4 {
 		p.reset()
 	}
-	return []string{"delayed", "dropping requests", "dropping responses", "dropping all data", "refused"}[kind]
+	return faultNames[kind]
+}
+
+var faultNames = []string{"delayed", "dropping requests", "dropping responses", "dropping all data", "refused", "with late responses"}
+
+// dropAll discards all data, as after a cut.
+func (p *faultProxy) dropAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop = [2]bool{true, true}
 }
 
 // heal ends all faults. Connections that have dropped data remain stalled.
 func (p *faultProxy) heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refuse, p.drop, p.delay = false, [2]bool{}, 0
+	p.refuse, p.drop, p.delay = false, [2]bool{}, [2]time.Duration{}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -100,9 +100,15 @@
 	record  *platformtest.Record
 	nodes   []*node
 	runners []*runner
-	version int
+	peers   *peerNet
 	started time.Time
 
+	// version is that of the newest configuration, and added are the routes that it and
+	// those before it have added. configMu guards both, and random.
+	configMu sync.Mutex
+	version  int
+	added    []addedRoute
+
 	// crashPart is the part of prompts on which runners crash; empty is none.
 	crashPart string
 
@@ -132,7 +138,7 @@
 	t.Cleanup(func() { fleetSlots <- slot })
 	f := &fleet{
 		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), store: platformtest.NewStore(t),
-		record: platformtest.NewRecord(), started: time.Now(), faults: make(map[string][]*interval),
+		record: platformtest.NewRecord(), started: time.Now(), faults: make(map[string][]*interval), peers: newPeerNet(t),
 	}
 	f.configure()
 	if crashSeed(seed) {
@@ -142,23 +148,11 @@
 		f.addRunner(fmt.Sprintf("i-%d", i))
 	}
 	for i := range nodeCount {
-		f.nodes = append(f.nodes, newNode(t, slot, i, f.store.Address))
+		f.nodes = append(f.nodes, newNode(t, slot, i, f.store.Address, f.peers))
 	}
 	return f
 }
 
-// configure writes the next configuration, which differs from the previous one
-// in one route.
-func (f *fleet) configure() {
-	f.version += 1 + f.random.Intn(3)
-	f.store.PutRoutes(f.version, platformtest.RepeatableRoute("/lookup/"), platformtest.AtMostOnceRoute("/booking/"),
-		platformtest.StreamRoute("/draft/"), platformtest.StreamRoute("/long/"), platformtest.RepeatableRoute(f.latestPath()))
-}
-
-// latestPath returns the path of the route that only the newest configuration
-// has.
-func (f *fleet) latestPath() string { return fmt.Sprintf("/added-%d/", f.version) }
-
 func (f *fleet) addRunner(id string) {
 	r := &runner{name: id, domain: fmt.Sprintf("z%d", 1+len(f.runners)%2)}
 	r.CrashingRunner = platformtest.StartCrashingRunner(f.t, f.store, f.record, id, r.domain, f.crashPart, restartAfter,
@@ -198,6 +192,10 @@
 		callers.Add(1)
 		go newCaller(f, callerCount).crash(stop, &callers)
 	}
+	for i := range proberCount {
+		callers.Add(1)
+		go newCaller(f, callerCount+1+i).probe(stop, &callers)
+	}
 	for i := range leaverCount {
 		callers.Add(1)
 		go newLeaver(f, i).run(stop, &callers)
@@ -232,7 +230,7 @@
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
 	var all sync.WaitGroup
-	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner} {
+	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner, f.faultPeerPath} {
 		random := rand.New(rand.NewSource(f.seed*10 + int64(series)))
 		all.Go(func() {
 			for time.Now().Before(end) {
@@ -249,6 +247,7 @@
 		r.proxy.heal()
 	}
 	f.store.SetUnavailable(false)
+	f.peers.heal()
 }
 
 func sleepRandom(random *rand.Rand, limit time.Duration) {
@@ -293,6 +292,7 @@
 // store unavailable to all nodes.
 func (f *fleet) faultStorePath(random *rand.Rand) {
 	if random.Intn(4) == 0 {
+		defer f.recordFault(storeFaultKey)()
 		f.event("the store is unavailable")
 		f.store.SetUnavailable(true)
 		sleepRandom(random, 2*time.Second)
@@ -300,6 +300,7 @@
 		return
 	}
 	n := f.nodes[random.Intn(len(f.nodes))]
+	defer f.recordFault(n.storeProxy.address())()
 	f.event("store connection %s for %s", n.storeProxy.injectFault(random), n.host)
 	sleepRandom(random, 3*time.Second)
 	n.storeProxy.heal()
@@ -328,11 +329,10 @@
 // changeStore makes a change that operators or runners make in the store, or
 // discards the store's change history.
 func (f *fleet) changeStore(random *rand.Rand) {
-	switch random.Intn(4) {
+	switch random.Intn(5) {
 	case 0:
 		for range 1 + random.Intn(maxSeries) {
 			f.configure()
-			f.event("configuration %d", f.version)
 			time.Sleep(seriesPause)
 		}
 	case 1:
@@ -352,6 +352,8 @@
 	case 3:
 		f.event("the store drops its history")
 		f.store.DropHistory()
+	case 4:
+		f.missChanges(func() { sleepRandom(random, 700*time.Millisecond) })
 	}
 }
 
