--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// TestAgeIgnoresClockSteps guards against an age of the view that jumps with the clock
+// of day: the directory would take the store for lost.
+func TestAgeIgnoresClockSteps(t *testing.T) {
+	dayTime := clock.NewFake(time.Now())
+	s := New(Options{})
+	if err := s.Provision(kernel.New(dayTime, slog.New(slog.DiscardHandler))); err != nil {
+		t.Fatal(err)
+	}
+	s.replaceAll(Rollouts, nil, time.Time{})
+	dayTime.Advance(time.Hour)
+	if age := s.Age(Rollouts); age > time.Minute {
+		t.Errorf("age %s after a step of the clock of day", age)
+	}
+}
+
 // pickyDecoder fails for one version.
 type pickyDecoder struct{ fakeDecoder }
 
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -357,7 +357,7 @@
 		s.announced[f.kind].Store(uint64(f.pending))
 		return false
 	}
-	s.lastAnswer[f.kind].Store(s.clock.Now().UnixNano())
+	s.lastAnswer[f.kind].Store(int64(s.pauses.now()))
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.reported) {
 		f.reported = at
 	}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -113,7 +113,8 @@
 	tracker *Tracker
 	changed chan struct{}
 	view    atomic.Pointer[topology.View]
-	// lastAnswer is the Unix nanosecond of the latest answer or notice by kind.
+	// lastAnswer is the time of the latest answer or notice by kind, in nanoseconds of
+	// the clock of pauses; zero is none.
 	lastAnswer [Nodes]atomic.Int64
 	notices    [Nodes]chan Notice
 	// storeProgress is what the followers have read from the store themselves;
@@ -227,7 +228,7 @@
 	if at == 0 {
 		return -1
 	}
-	return s.clock.Since(time.Unix(0, at))
+	return s.pauses.now() - time.Duration(at)
 }
 
 // Synced reports whether every kind has been read once.
@@ -253,7 +254,7 @@
 
 // replaceAll replaces the known objects of a kind.
 func (s *Service) replaceAll(kind Kind, objects []Object, appeared time.Time) {
-	s.lastAnswer[kind].Store(s.clock.Now().UnixNano())
+	s.lastAnswer[kind].Store(int64(s.pauses.now()))
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
 		s.digests[kind] = newDigest(objects)
@@ -279,7 +280,7 @@
 	if err != nil {
 		return from, nil, err
 	}
-	s.lastAnswer[kind].Store(s.clock.Now().UnixNano())
+	s.lastAnswer[kind].Store(int64(s.pauses.now()))
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
 		changed := false
