--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -132,6 +132,24 @@
 	watchDenials(t, s, changed)
 }
 
+// TestDelayedReply guards against denials by a node that counts another node's proof
+// from the arrival of the reply.
+func TestDelayedReply(t *testing.T) {
+	store, reader, c, s, _ := delayedFleet(t)
+	reader.dropNotices.Store(true)
+	c.hanging.Store(true)
+	changed := make(chan time.Time, 1)
+	reader.beforeReply.Store(func() {
+		reader.unreachable.Store(true) // This reply is the last.
+		store.set(func() { store.version = 2 })
+		changed <- time.Now()
+		time.Sleep(proofQueryTimeout * 8 / 10)
+	})
+	time.Sleep(effectiveIn)
+	s.AwaitCurrent(t.Context(), Configurations, effectiveIn)
+	watchDenials(t, s, <-changed)
+}
+
 // TestDelayedAnswer guards against denials by a node that counts an answer of the
 // store from its arrival.
 func TestDelayedAnswer(t *testing.T) {
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -91,6 +91,9 @@
 	dropNotices atomic.Bool
 	// unreachable keeps the service from answering queries for proofs.
 	unreachable atomic.Bool
+	// beforeReply, a func(), is called before the service's next reply to such a query
+	// is passed on.
+	beforeReply atomic.Value
 }
 
 func (h *hub) join(rank int) *hubPeer {
@@ -169,9 +172,13 @@
 		s.hub.mu.Unlock()
 		return Reply{}, errUnavailable
 	}
-	answer := s.hub.answers[i]
+	answer, asked := s.hub.answers[i], s.hub.peers[i]
 	s.hub.mu.Unlock()
-	return answer(ctx, q)
+	reply, err := answer(ctx, q)
+	if hold, ok := asked.beforeReply.Load().(func()); ok {
+		hold()
+	}
+	return reply, err
 }
 
 // QueryParent asks the node with the index parent.
