Store view: a configuration that can't be decoded is not replaced by an older one for others

A node that could not decode the newest configuration answered queries with the one before, at the revision of the newest: the asking node took it for the newest. It answers that the state is not proven. TestUndecodableIsNotCurrent covers it; without the fix another node gets the configuration before at revision 2.

--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -278,6 +278,9 @@
 	if s.AwaitCurrent(t.Context(), Configurations, effectiveIn/2) {
 		t.Error("current although the newest configuration could not be decoded")
 	}
+	if r, err := s.newest(Query{Kind: Configurations, After: 1}); err == nil {
+		t.Errorf("another node gets the configuration before it, at revision %d", r.Notice.To)
+	}
 	store.set(func() { store.version = 3 })
 	waitFor(t, s, 3, effectiveIn)
 	if !s.AwaitCurrent(t.Context(), Configurations, effectiveIn/2) {
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -142,11 +142,15 @@
 	return s.newestLocked(q)
 }
 
+// newestLocked is newest for callers that hold the lock.
 func (s *Service) newestLocked(q Query) (Reply, error) {
 	known := s.latestProgress[Configurations]
 	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 {
 		return Reply{}, errNothingNewer
 	}
+	if s.undecoded != 0 {
+		return Reply{}, errNotProven // The configuration in force is not the one at this revision.
+	}
 	n := Notice{Kind: Configurations, From: q.After, To: known.from}
 	changes := noticeChanges([]Change{{Object: s.config}})
 	if packed, err := packChanges(changes); q.Packed && err == nil {
