Store view: a proof is passed on only with the state that it is of

A call recorded its proof before the state that it had read, so for an instant another node with the objects before got a proof of them at the time of that call: the order is turned round, also in the copy at the start. And a reply with uncompressed changes counted as a proof of the state that the asking node had: any reply with changes is applied first.

TestReplyWithChangesProvesNothing failed before (plain: current before the changes are applied). A test of peer_advertise in the settings.

--- a/pkg/settings/router_test.go
+++ b/pkg/settings/router_test.go
@@ -58,6 +58,7 @@
 		{`host = "front-1"`, ``, "host is missing"},
 		{`entry = "10.0.0.1:80"`, `entry = "front"`, "s.toml:4"},
 		{`peer_port = 7340`, `peer_port = 70000`, "s.toml:8"},
+		{`peer_port = 7340`, "peer_port = 7340\npeer_advertise = \"0.0.0.0:7340\"", "s.toml:9"},
 		{`z1 = "r1"`, `z1 = "r2"`, "failure domain"},
 		{`grace = "8s"`, `grace = "0s"`, "bounds.grace"},
 		{`drain = "2500ms"`, `drain = "soon"`, "s.toml:18"},
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -141,8 +141,7 @@
 		s.dropReporter(kind, reporter)
 		return false
 	}
-	if r.Notice.To > q.After && len(r.Notice.Packed) > 0 {
-		n := r.Notice
+	if n := r.Notice; len(n.Packed) > 0 || len(n.Changes) > 0 {
 		n.ageMS = r.AgeMS
 		s.queue(n)
 		return true
--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -150,6 +150,38 @@
 	watchDenials(t, s, <-changed)
 }
 
+// replyingPeers answers queries for proofs with a fixed reply.
+type replyingPeers struct {
+	Peers
+	reply Reply
+}
+
+func (p replyingPeers) QueryNode(context.Context, string, Query) (Reply, error) { return p.reply, nil }
+
+// TestReplyWithChangesProvesNothing guards against a node that takes the proof of a state
+// that it does not have yet for one of its own.
+func TestReplyWithChangesProvesNothing(t *testing.T) {
+	changes := noticeChanges([]Change{{Object: Object{Name: "main", Revision: 9}}})
+	packed, err := packChanges(changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, n := range map[string]Notice{
+		"compressed": {Kind: Configurations, From: 5, To: 9, Packed: packed},
+		"plain":      {Kind: Configurations, From: 5, To: 9, Complete: true, Changes: changes},
+	} {
+		s := New(Options{EffectiveIn: map[Kind]time.Duration{Configurations: effectiveIn}, Peers: replyingPeers{reply: Reply{Notice: n, ProvenMS: 1}}})
+		s.reporters[Configurations] = reporter{node: "reader", at: 1}
+		s.queryReporter(t.Context(), Configurations)
+		if s.Current(Configurations) {
+			t.Errorf("%s: current before the changes are applied", name)
+		}
+		if len(s.notices[Configurations]) != 1 {
+			t.Errorf("%s: the changes are not queued", name)
+		}
+	}
+}
+
 // TestDelayedAnswer guards against denials by a node that counts an answer of the
 // store from its arrival.
 func TestDelayedAnswer(t *testing.T) {
--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -63,9 +63,9 @@
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
 	f.reported = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
-	s.proveByReply(f.kind, began, r)
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
+	s.proveByReply(f.kind, began, r)
 }
 
 // wholeFromParent queries the parent until it knows the kind. ok is false at the root
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -138,13 +138,15 @@
 	}
 	if err == nil {
 		s.confirm(f.kind, began)
-		// The answer may be late, and a watch may have missed changes.
-		s.prove(f.kind, began, by)
 		f.reported = s.clock.Now()
 		if len(changes) > 0 {
 			f.changed = f.from
 		}
 		f.recordLatestProgress()
+		// The answer may be late, and a watch may have missed changes, so the proof is of
+		// the start. It is recorded after the state, or others would get it for the
+		// state before.
+		s.prove(f.kind, began, by)
 		s.mu.Lock()
 		s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
 		s.mu.Unlock()
