Store view: go on only from what an answer has shown

Callers were refused with 401 or 404 by a configuration before the newest, at nodes whose own calls confirmed it again and again.

Cause: the revision of an answer counted as shown by it. A watch without a wait, a watch with a change and a list set the revision to go on from to that of their answer, which may be later than what they have looked at. A change in between was found only with the next one, and the watches that missed it proved that there was none.

A node now goes on from the last change in an answer, or from what the store had revealed before the call (a list: reads are linearizable). An empty watch shows nothing. Replays are dropped by the revisions of the objects. A watch proves nothing: a denial rests on one read of the configuration, by this node or by the one that reports the state, which reads for all that ask. And the first reader lists each kind of up to 100 objects again before the bound has passed, since a watch that shows a later change leaves a hole that no revision tells; notices spread what the list finds. A list drops what notices had announced before it, and a notice whose changes a list may have passed makes the node call.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -121,7 +121,7 @@
 	n.registry.live = n.members.Live
 	nodes := &fleet{members: n.members, msgr: transport, registry: n.registry, region: s.Region, domain: s.FailureDomain}
 	n.storeView = storeview.New(storeview.Options{
-		Store: store, Decoder: platform.Translator{Regions: s.Domains},
+		Store: store, Decoder: platform.Translator{Regions: s.Domains}, Revealed: store.Revealed,
 		Peers:   notices{nodes},
 		Tracker: storeview.TrackerOptions{Heartbeat: s.Heartbeat.Std()},
 		EffectiveIn: map[storeview.Kind]time.Duration{
--- /dev/null
+++ b/pkg/storeview/answer_test.go
@@ -0,0 +1,373 @@
+package storeview
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
+	"cassiapin/pkg/topology"
+)
+
+// passedClient makes the next configuration while an armed call is open: the answer lacks
+// it, and has the store's revision after it.
+type passedClient struct {
+	*fakeStore
+	// list, changed and unwaited choose the calls: lists, watches whose answers have
+	// changes, and watches without a wait whose answers have none.
+	list, changed, unwaited bool
+	armed                   atomic.Bool
+	hit                     chan time.Time
+}
+
+// pass makes the change, if the call is armed.
+func (c *passedClient) pass(k Kind, chosen bool) topology.Revision {
+	if k != Configurations || !chosen || !c.armed.CompareAndSwap(true, false) {
+		return 0
+	}
+	c.fakeStore.set(func() { c.fakeStore.version++ })
+	c.hit <- time.Now()
+	return 1
+}
+
+func (c *passedClient) List(ctx context.Context, k Kind) ([]Object, topology.Revision, error) {
+	objects, revision, err := c.fakeStore.List(ctx, k)
+	return objects, revision + c.pass(k, c.list), err
+}
+
+func (c *passedClient) Watch(
+	ctx context.Context, k Kind, after topology.Revision, wait, slack time.Duration,
+) ([]Change, topology.Revision, error) {
+	changes, revision, err := c.fakeStore.Watch(ctx, k, after, wait, slack)
+	if err != nil {
+		return nil, 0, err
+	}
+	chosen := c.changed && len(changes) > 0 || c.unwaited && len(changes) == 0 && wait <= time.Millisecond
+	return changes, revision + c.pass(k, chosen), nil
+}
+
+// TestAnswerCarriesPastChange guards against a node that goes on from the revision of an
+// answer, although a change before it is not in the answer.
+func TestAnswerCarriesPastChange(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		client  *passedClient
+		trigger func(s *Service, c *passedClient)
+	}{
+		{"a watch without a wait", &passedClient{unwaited: true}, func(s *Service, _ *passedClient) {
+			select {
+			case s.callRequests[Configurations] <- struct{}{}:
+			default:
+			}
+		}},
+		{"a watch with a change", &passedClient{changed: true}, func(_ *Service, c *passedClient) {
+			c.fakeStore.set(func() { c.fakeStore.version++ })
+		}},
+		{"a list", &passedClient{list: true}, func(*Service, *passedClient) {}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := tc.client
+			c.fakeStore, c.hit = newFakeStore(), make(chan time.Time, 1)
+			c.armed.Store(c.list) // The first list is the one.
+			s := startWith(t, c, nil)
+			waitFor(t, s, 1, time.Second)
+			c.armed.Store(!c.list)
+			var changed time.Time
+			for deadline := time.Now().Add(20 * effectiveIn); changed.IsZero(); {
+				if time.Now().After(deadline) {
+					t.Fatal("no such answer")
+				}
+				tc.trigger(s, c)
+				select {
+				case changed = <-c.hit:
+				case <-time.After(effectiveIn / 20):
+				}
+			}
+			c.mu.Lock()
+			newest := uint64(c.version)
+			c.mu.Unlock()
+			checkDenials(t, s, changed, newest)
+		})
+	}
+}
+
+// checkDenials checks that a node denies nothing by a configuration before the newest once
+// that has been in the store for the bound, and that the node has it then.
+func checkDenials(t *testing.T, s *Service, changed time.Time, newest uint64) {
+	t.Helper()
+	var last time.Duration
+	for time.Since(changed) < 3*effectiveIn {
+		asked := time.Since(changed)
+		if s.AwaitCurrent(t.Context(), Configurations, time.Millisecond) && s.View().Config.Version < newest {
+			last = asked
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if last > effectiveIn {
+		t.Errorf("an old configuration denies requests sent %s after the change, bound %s", last, effectiveIn)
+	}
+	if v := s.View().Config.Version; v < newest {
+		t.Errorf("configuration %d after %s, want %d", v, time.Since(changed), newest)
+	}
+}
+
+// muteStore has objects of all kinds. Its watches never show the changes at hidden
+// revisions, and their answers have the store's revision.
+type muteStore struct {
+	mu       sync.Mutex
+	revision topology.Revision
+	objects  [Nodes]map[string]Object
+	log      []muteEvent
+	changed  chan struct{}
+}
+
+type muteEvent struct {
+	kind   Kind
+	change Change
+	at     topology.Revision
+	hidden bool
+}
+
+func newMuteStore() *muteStore {
+	m := &muteStore{revision: 1, changed: make(chan struct{})}
+	for kind := range m.objects {
+		m.objects[kind] = map[string]Object{}
+	}
+	return m
+}
+
+// put writes an object, or deletes it. The object of a deletion has the revision of the
+// change before.
+func (m *muteStore) put(kind Kind, name string, deleted, hidden bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	o := m.objects[kind][name]
+	if deleted {
+		delete(m.objects[kind], name)
+	} else {
+		o = Object{Name: name, Revision: m.revision, Created: m.revision}
+		m.objects[kind][name] = o
+	}
+	m.log = append(m.log, muteEvent{kind, Change{Object: o, Deleted: deleted}, m.revision, hidden})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *muteStore) List(_ context.Context, kind Kind) (objects []Object, revision topology.Revision, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.objects[kind] {
+		objects = append(objects, o)
+	}
+	return objects, m.revision, nil
+}
+
+func (m *muteStore) Watch(
+	ctx context.Context, kind Kind, after topology.Revision, wait, _ time.Duration,
+) ([]Change, topology.Revision, error) {
+	for end := time.After(wait); ; {
+		m.mu.Lock()
+		var changes []Change
+		for _, e := range m.log {
+			if e.kind == kind && e.at > after && !e.hidden {
+				changes = append(changes, e.change)
+			}
+		}
+		revision, changed := m.revision, m.changed
+		m.mu.Unlock()
+		if len(changes) > 0 {
+			return changes, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// muteDecoder decodes the objects of a muteStore, which have names and revisions only.
+type muteDecoder struct{ fakeDecoder }
+
+func (muteDecoder) Upstream(o Object) (*topology.Upstream, error) {
+	return &topology.Upstream{ID: o.Name, Service: "s"}, nil
+}
+
+func (muteDecoder) Rollout(o Object) (*topology.Rollout, error) {
+	return &topology.Rollout{Service: o.Name, Created: o.Created, Revision: o.Revision}, nil
+}
+
+// TestChangeThatNoWatchShows guards against a change of any kind that stays unknown, to a
+// reader or to a node that relies on it, because watches miss it and show later ones.
+func TestChangeThatNoWatchShows(t *testing.T) {
+	for _, tc := range []struct {
+		kind    Kind
+		changed func(v *topology.View) bool
+	}{
+		{Configurations, func(v *topology.View) bool { return v.Config.Version > 2 }},
+		{Upstreams, func(v *topology.View) bool { return len(v.Upstreams["s"]) == 0 }},
+		{Rollouts, func(v *topology.View) bool { return len(v.Rollouts) == 0 }},
+		{Evacuations, func(v *topology.View) bool { return len(v.Evacuated) == 0 }},
+	} {
+		t.Run(tc.kind.String(), func(t *testing.T) {
+			t.Parallel()
+			store, h := newMuteStore(), &hub{}
+			for kind := Configurations; kind <= Evacuations; kind++ {
+				store.put(kind, "main", false, false)
+			}
+			var nodes []*Service
+			for _, rank := range []int{0, Readers} {
+				s := startOptions(t, Options{Store: store, Decoder: muteDecoder{}, Peers: h.join(rank)})
+				waitFor(t, s, 1, time.Second)
+				nodes = append(nodes, s)
+			}
+			time.Sleep(effectiveIn)
+			store.put(tc.kind, "main", tc.kind != Configurations, true)
+			changed := time.Now()
+			if tc.kind != Configurations {
+				store.put(tc.kind, "later", false, false)
+				store.put(tc.kind, "later", true, false)
+			}
+			for rank, s := range nodes {
+				for !tc.changed(s.View()) && time.Since(changed) < 5*effectiveIn {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if took := time.Since(changed); took > effectiveIn {
+					t.Errorf("node %d: the change takes effect after %s, bound %s", rank, took, effectiveIn)
+				}
+			}
+		})
+	}
+}
+
+// TestReplayedDeletion guards against a watch that shows the same deletion again and again,
+// since its object has the revision of the change before.
+func TestReplayedDeletion(t *testing.T) {
+	store := newMuteStore()
+	store.put(Configurations, "main", false, false)
+	store.put(Evacuations, "z1", false, false)
+	counted := &countedWatches{muteStore: store}
+	s := startOptions(t, Options{Store: counted, Decoder: muteDecoder{}})
+	waitFor(t, s, 1, time.Second)
+	time.Sleep(effectiveIn)
+	store.put(Evacuations, "z1", true, false)
+	before := counted.evacuations.Load()
+	const span = 3 * effectiveIn
+	time.Sleep(span)
+	if len(s.View().Evacuated) > 0 {
+		t.Error("the deletion is not known")
+	}
+	// One watch per wait, one that shows the deletion and one that shows it again.
+	if n, most := counted.evacuations.Load()-before, int64(span/(effectiveIn/2))+3; n > most {
+		t.Errorf("%d watches, want at most %d", n, most)
+	}
+}
+
+type countedWatches struct {
+	*muteStore
+	evacuations atomic.Int64
+}
+
+func (c *countedWatches) Watch(
+	ctx context.Context, kind Kind, after topology.Revision, wait, slack time.Duration,
+) ([]Change, topology.Revision, error) {
+	if kind == Evacuations {
+		c.evacuations.Add(1)
+	}
+	return c.muteStore.Watch(ctx, kind, after, wait, slack)
+}
+
+// TestNews guards against changes that are known already being made again, or undone.
+func TestNews(t *testing.T) {
+	d := newDigest([]Object{{Name: "a", Revision: 5}, {Name: "b", Revision: 7}})
+	put := func(name string, r topology.Revision) Change { return Change{Object: Object{Name: name, Revision: r}} }
+	gone := func(name string, r topology.Revision) Change {
+		return Change{Object: Object{Name: name, Revision: r}, Deleted: true}
+	}
+	for _, tc := range []struct {
+		name    string
+		changes []Change
+		want    int
+	}{
+		{"a known change", []Change{put("a", 5)}, 0},
+		{"an older change", []Change{put("a", 4)}, 0},
+		{"a later change", []Change{put("a", 6)}, 1},
+		{"a new object", []Change{put("c", 3)}, 1},
+		{"a deletion", []Change{gone("b", 7)}, 1},
+		{"a deletion before the object was created again", []Change{gone("b", 6)}, 0},
+		{"a known creation and deletion", []Change{put("c", 6), gone("c", 6)}, 0},
+		{"a deletion and creation", []Change{gone("b", 7), put("b", 9)}, 1},
+	} {
+		if got := len(d.news(tc.changes)); got != tc.want {
+			t.Errorf("%s: %d changes, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestShown guards against answers that count for more than they show.
+func TestShown(t *testing.T) {
+	at := func(revisions ...topology.Revision) (changes []Change) {
+		for _, r := range revisions {
+			changes = append(changes, Change{Object: Object{Name: "main", Revision: r}})
+		}
+		return changes
+	}
+	objects := []Object{{Name: "main", Revision: 15}}
+	const from, revealed = 10, 20
+	for _, tc := range []struct {
+		name      string
+		got, want topology.Revision
+	}{
+		{"an empty watch", watchAnswer{revision: 30}.shown(from, revealed), 10},
+		{"a watch with changes", watchAnswer{changes: at(12, 25), revision: 30}.shown(from, revealed), 25},
+		{"a watch with a known deletion", watchAnswer{changes: at(9), revision: 30}.shown(from, revealed), 20},
+		{"a list", listAnswer{objects, 30}.shown(Upstreams, from, revealed), 20},
+		{"a list before anything was revealed", listAnswer{objects, 30}.shown(Upstreams, 0, 0), 0},
+		{"the first configuration", listAnswer{objects, 30}.shown(Configurations, 0, 0), 15},
+		{"a list of a store that has lost changes", listAnswer{objects, 5}.shown(Upstreams, from, revealed), 5},
+	} {
+		if tc.got != tc.want {
+			t.Errorf("%s shows all up to %d, want %d", tc.name, tc.got, tc.want)
+		}
+	}
+}
+
+// TestWatchProvesNothing guards against denials that rest on a watch, which may have missed
+// the change.
+func TestWatchProvesNothing(t *testing.T) {
+	store := newMuteStore()
+	store.put(Configurations, "main", false, false)
+	s := New(Options{Store: store, Decoder: muteDecoder{}, EffectiveIn: map[Kind]time.Duration{Configurations: effectiveIn}})
+	if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+		t.Fatal(err)
+	}
+	f := &follower{service: s, kind: Configurations, callTimeout: minCallTimeout}
+	calls := []struct {
+		name   string
+		before func()
+		proven bool
+	}{
+		{"a list", func() {}, true},
+		{"a watch without a wait", func() { f.latency = 0 }, false},
+		{"a watch that waits", func() {}, false},
+		{"a list on request", func() { s.listRequested[Configurations].Store(true) }, true},
+	}
+	for _, c := range calls {
+		s.proofs = [Nodes]proof{}
+		c.before()
+		if err := f.call(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if proven := s.Current(Configurations); proven != c.proven {
+			t.Errorf("%s: proven is %t, want %t", c.name, proven, c.proven)
+		}
+	}
+}
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -10,9 +10,10 @@
 )
 
 // proof is a time, on the clock of pauses, at which a node's view of a kind had all
-// changes that the store had made. Delays only make it earlier: a call of the store
+// changes that the store had made. Delays only make it earlier: a read of the objects
 // proves the time of its start, and another node's proof counts back from the time at
-// which that node was asked. The time that a message was on its way, or a notice
+// which that node was asked. A watch proves nothing, as it may miss changes and what it
+// has read is only as complete as the revision that it begins after. The time that a message was on its way, or a notice
 // waited in a queue, is unknown to its receiver, so notices prove nothing.
 type proof struct {
 	at     time.Duration
@@ -24,7 +25,7 @@
 
 const (
 	sourceList  source = "list"
-	sourceWatch source = "watch"
+	sourceRead  source = "read"
 	sourceReply source = "reply"
 )
 
@@ -32,6 +33,8 @@
 	// proofQueryTimeout bounds the query of a proof. It leaves a denied request time
 	// for a call of the store.
 	proofQueryTimeout = 250 * time.Millisecond
+	// proofReadTimeout bounds a read of the store for a proof.
+	proofReadTimeout = 1500 * time.Millisecond
 	// proofPoll is the longest pause between two looks at the view by a request that
 	// awaits a proof.
 	proofPoll = 10 * time.Millisecond
@@ -100,7 +103,7 @@
 }
 
 // proveLoop gets the proofs that requests await, from the node that reports the state
-// or else by a call of the store.
+// or else by a read of the store.
 func (s *Service) proveLoop(ctx context.Context) {
 	for {
 		select {
@@ -112,7 +115,7 @@
 			}
 			if !s.queryReporter(ctx, kind) {
 				select {
-				case s.callRequests[kind] <- struct{}{}:
+				case s.readRequests <- kind:
 				default: // Requested already.
 				}
 			}
@@ -123,12 +126,77 @@
 	}
 }
 
+// readLoop reads the kinds of which a proof is awaited and no other node has one.
+func (s *Service) readLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case kind := <-s.readRequests:
+			if !s.Current(kind) {
+				s.proveByRead(ctx, kind)
+			}
+		}
+	}
+}
+
+// proveByRead proves the view of a kind by one read of its objects, whatever watches have
+// missed. If the store has other objects, the follower is told to list them. While the
+// store doesn't answer, the followers' backoff holds.
+func (s *Service) proveByRead(ctx context.Context, kind Kind) {
+	if wait, _ := s.backoff.claim(s.clock.Now()); wait > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofReadTimeout)
+	defer cancel()
+	began := s.pauses.now()
+	same, err := s.sameObjects(ctx, kind)
+	if err != nil {
+		return
+	}
+	s.backoff.recovered()
+	if same {
+		s.prove(kind, began, sourceRead)
+		return
+	}
+	s.listRequested[kind].Store(true)
+	select {
+	case s.callRequests[kind] <- struct{}{}:
+	default: // Requested already.
+	}
+}
+
+// sameObjects reports whether the store has the objects of a kind that this node has.
+func (s *Service) sameObjects(ctx context.Context, kind Kind) (bool, error) {
+	s.mu.Lock()
+	from := s.latestProgress[kind].from
+	s.mu.Unlock()
+	if kind == Configurations && !s.smallConfig() {
+		// A large one is not sent again: all changes up to from are known.
+		changes, revision, err := s.opts.Store.Watch(ctx, kind, from, time.Millisecond, proofReadTimeout)
+		s.revealed.Note(revision)
+		return len(changes) == 0, err
+	}
+	objects, revision, err := s.opts.Store.List(ctx, kind)
+	s.revealed.Note(revision)
+	if err != nil {
+		return false, err
+	}
+	digest := newDigest(objects).value()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digests[kind].value() == digest, nil
+}
+
 // queryReporter asks the node that reports the state for a proof, or for the state that
 // this node lacks. It returns false if the store has to be called.
 func (s *Service) queryReporter(ctx context.Context, kind Kind) bool {
 	s.mu.Lock()
 	reporter := s.reporters[kind]
-	q := Query{Kind: kind, After: s.latestProgress[kind].from, Packed: true, Prove: true, Digest: s.digests[kind].value()}
+	q := Query{
+		Kind: kind, After: s.latestProgress[kind].from, Packed: true, Prove: true, Digest: s.digests[kind].value(),
+		WaitMS: proofQueryTimeout.Milliseconds() * 4 / 5,
+	}
 	s.mu.Unlock()
 	asked := s.pauses.now()
 	if reporter.node == "" {
@@ -163,6 +231,10 @@
 	}
 	provenMS := s.provenMS(q.Kind)
 	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
+		select {
+		case s.readRequests <- q.Kind: // One read serves all nodes that ask.
+		default:
+		}
 		return Reply{}, errNotProven
 	}
 	return Reply{Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from}, ProvenMS: provenMS}, nil
@@ -232,7 +304,7 @@
 
 // Confirmation is what a node's view of a kind rests on.
 type Confirmation struct {
-	// Source is "list" or "watch" for a call of the store, "reply" for the proof of
+	// Source is "list" or "read" for a call of the store, "reply" for the proof of
 	// another node, and empty before the first.
 	Source string
 	// Age is the time for which changes may have been missed, -1 before the first
--- a/pkg/storeview/digest.go
+++ b/pkg/storeview/digest.go
@@ -53,3 +53,44 @@
 	}
 	return d.sum
 }
+
+// has reports whether the state has an object at its revision.
+func (d *digest) has(o Object) bool {
+	if d == nil {
+		return false
+	}
+	known, ok := d.revisions[o.Name]
+	return ok && known == o.Revision
+}
+
+// isNews reports whether a change is later than the state. The object of a deletion has
+// the revision of the deletion or of the change before it.
+func (d *digest) isNews(c Change) bool {
+	if d == nil {
+		return true
+	}
+	known, ok := d.revisions[c.Object.Name]
+	switch {
+	case c.Deleted:
+		return ok && (c.Object.Revision == 0 || c.Object.Revision >= known)
+	default:
+		return !ok || c.Object.Revision > known
+	}
+}
+
+// news returns the changes that are later than the state. Of several changes of one
+// object only the last counts, so that a deletion that is known is not undone for a
+// moment by the creation before it.
+func (d *digest) news(changes []Change) []Change {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Object.Name] = i
+	}
+	var news []Change
+	for i, c := range changes {
+		if last[c.Object.Name] == i && d.isNews(c) {
+			news = append(news, c)
+		}
+	}
+	return news
+}
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -32,16 +32,24 @@
 	// maxListedBytes is the size up to which a configuration is listed when it is not
 	// known whether there is a later one.
 	maxListedBytes = 64 << 10
+	// rereadShare is the longest time between two lists of a kind by the first reader,
+	// as a fraction of EffectiveIn, and maxRereadObjects the most objects of a kind that
+	// is listed again. The rest of the time is for a notice and the calls that follow it.
+	rereadShare      = 0.75
+	maxRereadObjects = 100
 )
 
 // follower lists and watches one kind.
 type follower struct {
 	service *Service
 	kind    Kind
-	// from is the revision up to which all changes are known; it is valid only
-	// once listed is set.
+	// from is the revision up to which answers have shown all changes; it is valid only
+	// once listed is set. The revision of an answer may be later than what it shows:
+	// see shownByList and shownByWatch.
 	from   topology.Revision
 	listed bool
+	// listedAt is the start of the latest list.
+	listedAt time.Time
 	// changed is a revision such that the kind did not change after it, up to
 	// from; the store's revisions count the changes of all kinds.
 	changed topology.Revision
@@ -55,7 +63,8 @@
 	latency     time.Duration
 	callTimeout time.Duration
 	failedSince time.Time
-	// answered is the store revision of the latest answer.
+	// answered is the store revision of the latest list, which has shown some of the
+	// changes after from, up to it.
 	answered topology.Revision
 	// reported is when the state was last said to be the newest. It decides when to
 	// call the store. Delays of messages and calls don't count in it, so it is no
@@ -113,70 +122,103 @@
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
 	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
-	if !f.listed || f.relistDue || f.latency == 0 {
+	revealed, digest := s.revealedRevision(), f.digest()
+	lists := f.mustList()
+	if lists || f.latency == 0 {
 		s.dropCallRequest(f.kind) // This call is the one that was requested.
 	}
 	var changes []Change
-	by := sourceWatch
 	switch {
-	case !f.listed || f.relistDue || f.missesSeveral():
-		var from topology.Revision
-		by = sourceList
-		if from, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
-			f.from, f.answered, f.changed, f.listed, f.relistDue, f.latency = from, from, from, true, false, max(s.clock.Since(start), 1)
+	case lists:
+		var a listAnswer
+		if a, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
+			f.noteList(a, revealed, start)
 		}
 	case f.latency == 0:
-		if f.from, changes, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
-			f.answered, f.latency = f.from, max(s.clock.Since(start), 1)
+		var a watchAnswer
+		if a, err = s.watch(ctx, f.kind, f.from, time.Millisecond, f.callTimeout, f.changedBetween(start)); err == nil {
+			f.from, changes = a.shown(f.from, revealed), a.news
+			f.latency = max(s.clock.Since(start), 1)
 		}
 	default:
 		if s.unconfirmed(f.kind) {
 			f.latency = 0
 			return f.call(ctx)
 		}
-		changes, err = f.waitForChanges(ctx)
+		changes, err = f.waitForChanges(ctx, revealed)
 	}
-	if err == nil {
-		s.confirm(f.kind, began)
-		f.reported = s.clock.Now()
-		if len(changes) > 0 {
-			f.changed = f.from
-		}
-		f.recordLatestProgress()
-		// The answer may be late, and a watch may have missed changes, so the proof is of
-		// the start. It is recorded after the state, or others would get it for the
-		// state before.
-		s.prove(f.kind, began, by)
-		s.mu.Lock()
-		s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
-		s.mu.Unlock()
-		f.publishChanges(before, base, changes)
+	if err != nil {
+		return err
+	}
+	s.confirm(f.kind, began)
+	f.reported = s.clock.Now()
+	if len(changes) > 0 {
+		f.changed = f.from
+	}
+	if f.pending > f.from {
+		f.relistDue = true // The watch has not shown what was announced.
+	}
+	f.recordLatestProgress()
+	if lists {
+		// The answer may be late, so the proof is of the start. It is recorded after the
+		// state, or others would get it for the state before.
+		s.prove(f.kind, began, sourceList)
+	}
+	s.mu.Lock()
+	s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
+	s.mu.Unlock()
+	f.publishChanges(before, base, changes)
+	if lists && digest != 0 && digest != f.digest() && s.opts.Peers != nil && s.rank() < Readers {
+		s.publishKnown() // The list has found what watches have missed.
+	}
+	return nil
+}
+
+// mustList reports whether the next call has to be a list.
+func (f *follower) mustList() bool {
+	if f.service.listRequested[f.kind].Swap(false) {
+		f.relistDue = true
 	}
-	return err
+	return !f.listed || f.relistDue || f.missesSeveral() || f.rereadDue()
+}
+
+// rereadDue reports whether this node, as the first reader, has to list a small kind
+// again. A watch may end without a change of its time, or with a later one only. No call
+// of another node finds it then, as they rely on this one.
+func (f *follower) rereadDue() bool {
+	s := f.service
+	if s.rank() != 0 || s.objectCount(f.kind) > maxRereadObjects || f.kind == Configurations && !s.smallConfig() {
+		return false
+	}
+	return s.clock.Since(f.listedAt)+f.wait() > time.Duration(rereadShare*float64(s.opts.EffectiveIn[f.kind]))
+}
+
+// noteList records a list that began at a time, when the store had revealed a revision.
+func (f *follower) noteList(a listAnswer, revealed topology.Revision, start time.Time) {
+	s := f.service
+	f.from, f.answered = a.shown(f.kind, f.from, revealed), a.revision
+	f.changed, f.listed, f.listedAt, f.latency = f.from, true, start, max(s.clock.Since(start), 1)
+	// Before anything was revealed, only a second list shows up to where the first was.
+	f.relistDue = f.from == 0 && a.revision > 0
+	f.pending = 0
+	s.announced[f.kind].Store(0)
 }
 
 // waitForChanges watches the kind until it changes or the wait has passed. It fails
 // with errCallRequested if a call without a wait is requested meanwhile.
-func (f *follower) waitForChanges(ctx context.Context) ([]Change, error) {
+func (f *follower) waitForChanges(ctx context.Context, revealed topology.Revision) ([]Change, error) {
 	s := f.service
 	ctx, cancel := s.cancelOnRequest(ctx, f.kind)
 	defer cancel()
-	next, changes, err := s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
+	a, err := s.watch(ctx, f.kind, f.from, f.wait(), max(minSlack, slackFactor*f.latency), time.Time{})
 	switch {
 	case errors.Is(context.Cause(ctx), errCallRequested) && err != nil:
 		return nil, errCallRequested
 	case err != nil:
 		return nil, err
-	case len(changes) > 0:
-		f.from = next
-	default:
-		// A watch reports the changes that it finds at its start, but may miss those
-		// of its wait. So it has shown that there was none up to the answer before it,
-		// and the next one begins there.
-		f.from = max(f.from, f.answered)
 	}
-	f.answered = next
-	return changes, nil
+	f.from = a.shown(f.from, revealed)
+	return a.news, nil
 }
 
 // missesSeveral reports whether the store may have several configurations that
@@ -193,8 +235,7 @@
 	}
 	// Nothing was announced, so the configuration may be unchanged, which a watch
 	// tells without sending it.
-	small := len(f.service.currentConfig().Spec) <= maxListedBytes
-	return small && rank >= Readers && f.failedSince.IsZero() && f.freshFor() <= 0
+	return f.service.smallConfig() && rank >= Readers && f.failedSince.IsZero() && f.freshFor() <= 0
 }
 
 // maxAppearedLead bounds how far back changedBetween estimates: a node that was
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -341,6 +341,7 @@
 // applyNotice applies a notice. It returns false when the store must be called.
 func (f *follower) applyNotice(n Notice) bool {
 	s := f.service
+	s.revealed.Note(n.To)
 	n.unpack()
 	switch {
 	case n.digest != 0 && n.digest == f.digest():
@@ -351,7 +352,8 @@
 	case n.digest != 0 && n.From <= f.from:
 		// Nothing has changed since this node's revision, yet the objects differ.
 		return !f.relist(n.digest)
-	case n.To > f.from && (!n.Complete || n.From > f.from || !f.expand(&n)):
+	case n.To > f.from && (!n.Complete || n.From > f.from || len(n.Changes) > 0 && n.To <= f.answered || !f.expand(&n)):
+		// The notice lacks changes, or a list may have shown later ones.
 		f.latency = 0 // Makes the next call without a wait.
 		f.pending = max(f.pending, n.To)
 		s.announced[f.kind].Store(uint64(f.pending))
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -90,6 +91,9 @@
 type Options struct {
 	Store   Store
 	Decoder Decoder
+	// Revealed returns the latest revision that any call to the store has returned, also
+	// of kinds that are not read here; nil is none.
+	Revealed func() topology.Revision
 	// Peers is nil for a node that reads the store by itself.
 	Peers   Peers
 	Tracker TrackerOptions
@@ -131,6 +135,9 @@
 	// announced is the latest revision that a notice has announced without its
 	// changes, by kind.
 	announced [Nodes]atomic.Uint64
+	// revealed is the latest revision of the store in any answer or notice. What the
+	// store reads afterwards includes all changes up to it.
+	revealed topology.LatestRevision
 	// confirmed is the start of the latest successful call of each kind, in
 	// nanoseconds of the clock of pauses.
 	confirmed [Nodes]atomic.Int64
@@ -142,10 +149,13 @@
 	// reporters are the nodes that report the newest state of each kind. mu guards
 	// them.
 	reporters [Nodes]reporter
-	// proofRequests are kinds of which requests await a proof, and callRequests tell
-	// the followers to call the store for one.
+	// proofRequests are kinds of which requests await a proof, and readRequests those
+	// that have to be read for one. callRequests tell the followers to call the store,
+	// for a list if listRequested is set.
 	proofRequests chan Kind
+	readRequests  chan Kind
 	callRequests  [Nodes]chan struct{}
+	listRequested [Nodes]atomic.Bool
 	pauses        pauses
 	backoff       *sharedBackoff
 }
@@ -153,7 +163,7 @@
 // New returns a service with an empty view.
 func New(o Options) *Service {
 	s := &Service{opts: o, changed: make(chan struct{}), tracker: NewTracker(o.Tracker), backoff: newSharedBackoff(), upstreams: make(map[string]Object)}
-	s.proofRequests = make(chan Kind, Nodes)
+	s.proofRequests, s.readRequests = make(chan Kind, Nodes), make(chan Kind, Nodes)
 	s.view.Store(&topology.View{})
 	s.pauses.now, s.pauses.next = o.BootTime, make(chan struct{})
 	if s.pauses.now == nil {
@@ -202,6 +212,10 @@
 		s.proveLoop(ctx)
 		return nil
 	})
+	t.Go(func() error {
+		s.readLoop(ctx)
+		return nil
+	})
 	if s.opts.Peers != nil {
 		t.Go(func() error {
 			s.publishLoop(ctx)
@@ -243,13 +257,14 @@
 
 // list reads all objects of a kind. New ones appeared at the given time, or just
 // now if it is zero.
-func (s *Service) list(ctx context.Context, kind Kind, appeared time.Time) (topology.Revision, error) {
-	objects, from, err := s.opts.Store.List(ctx, kind)
+func (s *Service) list(ctx context.Context, kind Kind, appeared time.Time) (listAnswer, error) {
+	objects, revision, err := s.opts.Store.List(ctx, kind)
 	if err != nil {
-		return 0, err
+		return listAnswer{}, err
 	}
+	s.revealed.Note(revision)
 	s.replaceAll(kind, objects, appeared)
-	return from, nil
+	return listAnswer{objects, revision}, nil
 }
 
 // replaceAll replaces the known objects of a kind.
@@ -257,16 +272,17 @@
 	s.lastAnswer[kind].Store(int64(s.pauses.now()))
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
+		known := s.digests[kind]
 		s.digests[kind] = newDigest(objects)
-		if kind == Upstreams {
-			clear(s.upstreams)
-		}
 		present := make(map[string]bool, len(objects))
 		changed := false
 		for _, o := range objects {
 			present[o.Name] = true
-			changed = s.apply(kind, Change{Object: o}, now, appeared) || changed
+			if !known.has(o) {
+				changed = s.apply(kind, Change{Object: o}, now, appeared) || changed
+			}
 		}
+		maps.DeleteFunc(s.upstreams, func(name string, _ Object) bool { return kind == Upstreams && !present[name] })
 		return s.tracker.Retain(kind, present, now) || changed
 	})
 }
@@ -275,21 +291,24 @@
 // appeared, or just now if it is zero.
 func (s *Service) watch(
 	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration, appeared time.Time,
-) (topology.Revision, []Change, error) {
-	changes, next, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
+) (watchAnswer, error) {
+	changes, revision, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
-		return from, nil, err
+		return watchAnswer{}, err
 	}
+	s.revealed.Note(revision)
 	s.lastAnswer[kind].Store(int64(s.pauses.now()))
+	a := watchAnswer{changes: changes, revision: revision}
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
 		changed := false
-		for _, c := range changes {
+		a.news = s.digests[kind].news(changes)
+		for _, c := range a.news {
 			changed = s.apply(kind, c, now, appeared) || changed
 		}
 		return changed
 	})
-	return max(next, from), changes, nil
+	return a, nil
 }
 
 // apply decodes one object and passes it to the tracker. A panic ends only this
