Store view: changes that a list finds are published, proofs are renewed early

Two causes: when the first reader's list found a configuration before its watch did, the others got no notice with the change, only one that announced it, and those that the store rejected could not fetch it; and proofs that count from lists are older when the store stops answering.

A list now tells what it has changed, and the reader publishes that as the changes of a watch. A denial that rests on a proof of over half of the bound requests the next one and doesn't wait.

--- a/pkg/storeview/answer.go
+++ b/pkg/storeview/answer.go
@@ -5,6 +5,8 @@
 // listAnswer is the store's answer to a list.
 type listAnswer struct {
 	objects []Object
+	// news are the changes since the state that this node knew, if any.
+	news []Change
 	// revision is that of the store when it answered.
 	revision topology.Revision
 }
--- a/pkg/storeview/answer_test.go
+++ b/pkg/storeview/answer_test.go
@@ -329,10 +329,10 @@
 		{"an empty watch", watchAnswer{revision: 30}.shown(from, revealed), 10},
 		{"a watch with changes", watchAnswer{changes: at(12, 25), revision: 30}.shown(from, revealed), 25},
 		{"a watch with a known deletion", watchAnswer{changes: at(9), revision: 30}.shown(from, revealed), 20},
-		{"a list", listAnswer{objects, 30}.shown(Upstreams, from, revealed), 20},
-		{"a list before anything was revealed", listAnswer{objects, 30}.shown(Upstreams, 0, 0), 0},
-		{"the first configuration", listAnswer{objects, 30}.shown(Configurations, 0, 0), 15},
-		{"a list of a store that has lost changes", listAnswer{objects, 5}.shown(Upstreams, from, revealed), 5},
+		{"a list", listAnswer{objects: objects, revision: 30}.shown(Upstreams, from, revealed), 20},
+		{"a list before anything was revealed", listAnswer{objects: objects, revision: 30}.shown(Upstreams, 0, 0), 0},
+		{"the first configuration", listAnswer{objects: objects, revision: 30}.shown(Configurations, 0, 0), 15},
+		{"a list of a store that has lost changes", listAnswer{objects: objects, revision: 5}.shown(Upstreams, from, revealed), 5},
 	} {
 		if tc.got != tc.want {
 			t.Errorf("%s shows all up to %d, want %d", tc.name, tc.got, tc.want)
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -35,6 +35,9 @@
 	proofQueryTimeout = 250 * time.Millisecond
 	// proofReadTimeout bounds a read of the store for a proof.
 	proofReadTimeout = 1500 * time.Millisecond
+	// renewShare is the age of a proof, as a fraction of Options.EffectiveIn, from which
+	// a denial that rests on it requests the next one.
+	renewShare = 0.5
 	// proofPoll is the longest pause between two looks at the view by a request that
 	// awaits a proof.
 	proofPoll = 10 * time.Millisecond
@@ -58,21 +61,37 @@
 }
 
 // AwaitCurrent waits until the view of a kind is current, at most for the given time,
-// and reports whether it is. It requests a proof if there is none.
+// and reports whether it is. It requests a proof if there is none, and ahead of the time
+// at which there would be none, so that few requests wait and a store that stops answering
+// finds recent proofs.
 func (s *Service) AwaitCurrent(ctx context.Context, kind Kind, limit time.Duration) bool {
 	until := s.clock.Now().Add(limit)
 	for !s.Current(kind) {
-		select {
-		case s.proofRequests <- kind:
-		default: // Others await proofs too.
-		}
+		s.requestProof(kind)
 		if !s.clock.Now().Before(until) || s.clock.Sleep(ctx, proofPoll) != nil {
 			return false
 		}
 	}
+	if s.proofAgeing(kind) {
+		s.requestProof(kind)
+	}
 	return true
 }
 
+func (s *Service) requestProof(kind Kind) {
+	select {
+	case s.proofRequests <- kind:
+	default: // Others request proofs too.
+	}
+}
+
+// proofAgeing reports whether the latest proof of a kind is to be renewed.
+func (s *Service) proofAgeing(kind Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauses.now()-s.proofs[kind].at > time.Duration(renewShare*float64(s.opts.EffectiveIn[kind]))
+}
+
 // reporter is the node whose notices last reported a kind's state as the newest, and
 // that time by its account. It reads the store, so it is likely to have a proof.
 type reporter struct {
@@ -110,10 +129,10 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.proofRequests:
-			if s.Current(kind) {
+			if s.Current(kind) && !s.proofAgeing(kind) {
 				continue
 			}
-			if !s.queryReporter(ctx, kind) {
+			if !s.queryReporter(ctx, kind) && !s.Current(kind) {
 				select {
 				case s.readRequests <- kind:
 				default: // Requested already.
--- a/pkg/storeview/digest.go
+++ b/pkg/storeview/digest.go
@@ -63,6 +63,16 @@
 	return ok && known == o.Revision
 }
 
+// missing returns the deletions of the objects that are not present any more.
+func (d *digest) missing(present map[string]bool) (deletions []Change) {
+	for name, revision := range d.revisions {
+		if !present[name] {
+			deletions = append(deletions, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
+		}
+	}
+	return deletions
+}
+
 // isNews reports whether a change is later than the state. The object of a deletion has
 // the revision of the deletion or of the change before it.
 func (d *digest) isNews(c Change) bool {
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -122,7 +122,7 @@
 func (f *follower) call(ctx context.Context) (err error) {
 	s := f.service
 	start, before, base, began := s.clock.Now(), f.changed, s.currentConfig(), s.pauses.now()
-	revealed, digest := s.revealedRevision(), f.digest()
+	revealed := s.revealedRevision()
 	lists := f.mustList()
 	if lists || f.latency == 0 {
 		s.dropCallRequest(f.kind) // This call is the one that was requested.
@@ -133,6 +133,7 @@
 		var a listAnswer
 		if a, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.noteList(a, revealed, start)
+			changes = a.news
 		}
 	case f.latency == 0:
 		var a watchAnswer
@@ -168,9 +169,6 @@
 	s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
 	s.mu.Unlock()
 	f.publishChanges(before, base, changes)
-	if lists && digest != 0 && digest != f.digest() && s.opts.Peers != nil && s.rank() < Readers {
-		s.publishKnown() // The list has found what watches have missed.
-	}
 	return nil
 }
 
@@ -196,8 +194,12 @@
 // noteList records a list that began at a time, when the store had revealed a revision.
 func (f *follower) noteList(a listAnswer, revealed topology.Revision, start time.Time) {
 	s := f.service
+	first := !f.listed
 	f.from, f.answered = a.shown(f.kind, f.from, revealed), a.revision
-	f.changed, f.listed, f.listedAt, f.latency = f.from, true, start, max(s.clock.Since(start), 1)
+	if first {
+		f.changed = f.from
+	}
+	f.listed, f.listedAt, f.latency = true, start, max(s.clock.Since(start), 1)
 	// Before anything was revealed, only a second list shows up to where the first was.
 	f.relistDue = f.from == 0 && a.revision > 0
 	f.pending = 0
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -134,9 +134,8 @@
 	noticeQueue = 64
 )
 
-// publishChanges sends the changes that a reader's watch has returned. Those of
-// a list are not sent: the other nodes watch from their own revisions. base is the
-// configuration before the changes.
+// publishChanges sends the changes that a reader has found, by a watch or by a list.
+// base is the configuration before the changes.
 func (f *follower) publishChanges(before topology.Revision, base Object, changes []Change) {
 	s := f.service
 	if s.opts.Peers == nil || s.rank() >= Readers {
@@ -380,7 +379,7 @@
 		}
 		s.tracker.ConfirmedByPeer(f.kind)
 		changed := false
-		for _, c := range n.changes() {
+		for _, c := range s.digests[f.kind].news(n.changes()) {
 			changed = s.apply(f.kind, c, now, time.Time{}) || changed
 		}
 		return changed
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -263,12 +263,12 @@
 		return listAnswer{}, err
 	}
 	s.revealed.Note(revision)
-	s.replaceAll(kind, objects, appeared)
-	return listAnswer{objects, revision}, nil
+	return listAnswer{objects, s.replaceAll(kind, objects, appeared), revision}, nil
 }
 
-// replaceAll replaces the known objects of a kind.
-func (s *Service) replaceAll(kind Kind, objects []Object, appeared time.Time) {
+// replaceAll replaces the known objects of a kind. It returns the changes, none if the
+// kind was not known before.
+func (s *Service) replaceAll(kind Kind, objects []Object, appeared time.Time) (news []Change) {
 	s.lastAnswer[kind].Store(int64(s.pauses.now()))
 	s.update(func(now time.Time) bool {
 		s.tracker.StoreAnswered(kind, now)
@@ -278,13 +278,20 @@
 		changed := false
 		for _, o := range objects {
 			present[o.Name] = true
-			if !known.has(o) {
-				changed = s.apply(kind, Change{Object: o}, now, appeared) || changed
+			if c := (Change{Object: o}); !known.has(o) {
+				news = append(news, c)
+				changed = s.apply(kind, c, now, appeared) || changed
 			}
 		}
+		if known == nil {
+			news = nil
+		} else {
+			news = append(news, known.missing(present)...)
+		}
 		maps.DeleteFunc(s.upstreams, func(name string, _ Object) bool { return kind == Upstreams && !present[name] })
 		return s.tracker.Retain(kind, present, now) || changed
 	})
+	return news
 }
 
 // watch reads the changes of a kind after a revision. They occurred at the time
