Store view: a node that is asked for a proof renews its own ahead

When the store stops answering, nodes with older proofs refuse (code 401) sooner. A query for a proof now makes the node that is asked read the configuration again in the background if its proof is older than a watch.

--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -72,7 +72,7 @@
 			return false
 		}
 	}
-	if s.proofAgeing(kind) {
+	if s.proofOlder(kind, renewShare) {
 		s.requestProof(kind)
 	}
 	return true
@@ -85,11 +85,17 @@
 	}
 }
 
-// proofAgeing reports whether the latest proof of a kind is to be renewed.
-func (s *Service) proofAgeing(kind Kind) bool {
+// proofOlder reports whether the latest proof of a kind is older than a share of the time
+// in which a change must take effect.
+func (s *Service) proofOlder(kind Kind, share float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pauses.now()-s.proofs[kind].at > time.Duration(renewShare*float64(s.opts.EffectiveIn[kind]))
+	return s.proofOlderLocked(kind, share)
+}
+
+// proofOlderLocked is proofOlder for callers that hold the lock.
+func (s *Service) proofOlderLocked(kind Kind, share float64) bool {
+	return s.pauses.now()-s.proofs[kind].at > time.Duration(share*float64(s.opts.EffectiveIn[kind]))
 }
 
 // reporter is the node whose notices last reported a kind's state as the newest, and
@@ -129,7 +135,7 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.proofRequests:
-			if s.Current(kind) && !s.proofAgeing(kind) {
+			if s.Current(kind) && !s.proofOlder(kind, renewShare) {
 				continue
 			}
 			if !s.queryReporter(ctx, kind) && !s.Current(kind) {
@@ -152,7 +158,7 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.readRequests:
-			if !s.Current(kind) {
+			if s.proofOlder(kind, readShare) {
 				s.proveByRead(ctx, kind)
 			}
 		}
@@ -248,12 +254,14 @@
 	if q.Digest == 0 || q.Digest != known.digest {
 		return s.newestLocked(q)
 	}
-	provenMS := s.provenMS(q.Kind)
-	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
+	if s.proofOlderLocked(q.Kind, readShare) {
 		select {
 		case s.readRequests <- q.Kind: // One read serves all nodes that ask.
 		default:
 		}
+	}
+	provenMS := s.provenMS(q.Kind)
+	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
 		return Reply{}, errNotProven
 	}
 	return Reply{Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from}, ProvenMS: provenMS}, nil
