Registry: a late list keeps nodes that were verified after it

Callers saw nothing by itself: a new node's connections to a node were refused, or cost a further read of the store with up to 0.35 s of waiting, so notices and proofs between the two were missing meanwhile.

Cause: a list of the nodes replaced the trusted certificates, also those that a read of a single entry had verified after the list was made. Entries now keep their revisions, and a list drops only those up to its own.

--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -83,8 +83,9 @@
 	// listing serializes the lists.
 	listing sync.Mutex
 	// mu guards the fields below.
-	mu      sync.Mutex
-	trusted map[string]bool
+	mu sync.Mutex
+	// trusted has the revisions of the entries by fingerprint, zero for this node's.
+	trusted map[string]topology.Revision
 	seeds   []string
 	// listed is the start of the latest list.
 	listed time.Time
@@ -93,7 +94,7 @@
 }
 
 func newRegistry(store entryStore, host string, own entry) *registry {
-	r := &registry{store: store, host: host, own: own, trusted: map[string]bool{own.Fingerprint: true}}
+	r := &registry{store: store, host: host, own: own, trusted: map[string]topology.Revision{own.Fingerprint: 0}}
 	r.ctx, r.close = context.WithCancel(context.Background())
 	return r
 }
@@ -237,13 +238,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trusted[fingerprint] = true
+	r.trusted[fingerprint] = object.Revision
 	return true, true
 }
 
 func (r *registry) has(fingerprint string) bool {
 	r.mu.Lock()
-	trusted := r.trusted[fingerprint]
+	_, trusted := r.trusted[fingerprint]
 	r.mu.Unlock()
 	if trusted || r.live == nil {
 		return trusted
@@ -278,12 +279,12 @@
 	r.mu.Lock()
 	r.listed = time.Now()
 	r.mu.Unlock()
-	objects, _, err := r.store.List(ctx, storeview.Nodes)
+	objects, revision, err := r.store.List(ctx, storeview.Nodes)
 	if err != nil {
 		r.log.Warn(eventlog.StoreLost, "kind", storeview.Nodes.String(), "error", err.Error())
 		return
 	}
-	trusted := map[string]bool{r.own.Fingerprint: true}
+	trusted := map[string]topology.Revision{r.own.Fingerprint: 0}
 	var seeds []string
 	var ownRevision topology.Revision
 	for _, o := range objects {
@@ -295,11 +296,16 @@
 		if e.Fingerprint == r.own.Fingerprint {
 			ownRevision = o.Revision
 		}
-		trusted[e.Fingerprint] = true
+		trusted[e.Fingerprint] = o.Revision
 		seeds = append(seeds, e.PeerAddress)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for fingerprint, verified := range r.trusted {
+		if verified > revision {
+			trusted[fingerprint] = verified // The list is older than this entry.
+		}
+	}
 	r.trusted, r.seeds, r.ownRevision = trusted, seeds, ownRevision
 }
 
