Registry: a late answer doesn't restore trust in a node that has left

A node trusted the certificate of a process that had ended until its next list, if the answer with the entry arrived after a list without it.

Cause: the answer to the read of one entry counted from its arrival. The entry's revision now decides: up to that of the latest list, the list holds.

TestLateEntryIsNotTrusted failed before and passes 3 of 3 times.

--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -87,8 +87,10 @@
 	// trusted has the revisions of the entries by fingerprint, zero for this node's.
 	trusted map[string]topology.Revision
 	seeds   []string
-	// listed is the start of the latest list.
-	listed time.Time
+	// listed is the start of the latest list, and listRevision the store's revision in
+	// the latest answer to one.
+	listed       time.Time
+	listRevision topology.Revision
 	// ownRevision is the revision of this node's entry, zero if it is not known.
 	ownRevision topology.Revision
 }
@@ -238,6 +240,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, listed := r.trusted[fingerprint]; !listed && object.Revision <= r.listRevision {
+		return false, true // A later list lacks the entry.
+	}
 	r.trusted[fingerprint] = object.Revision
 	return true, true
 }
@@ -306,7 +311,7 @@
 			trusted[fingerprint] = verified // The list is older than this entry.
 		}
 	}
-	r.trusted, r.seeds, r.ownRevision = trusted, seeds, ownRevision
+	r.trusted, r.seeds, r.ownRevision, r.listRevision = trusted, seeds, ownRevision, revision
 }
 
 // Seeds implements membership.SeedSource.
--- a/pkg/edge/registry_test.go
+++ b/pkg/edge/registry_test.go
@@ -124,3 +124,28 @@
 		t.Error("a list from before the node's entry took back the trust in it")
 	}
 }
+
+// TestLateEntryIsNotTrusted guards against trust in a node that has left, because the
+// answer with its entry arrives after a list without it.
+func TestLateEntryIsNotTrusted(t *testing.T) {
+	store := newHeldStore()
+	if err := store.Put(t.Context(), storeview.Nodes, "front-1", entry{Fingerprint: "gone"}); err != nil {
+		t.Fatal(err)
+	}
+	r := newRegistry(store, "front-0", entry{Fingerprint: "own"})
+	r.log = slog.New(slog.DiscardHandler)
+	t.Cleanup(r.close)
+	release := make(chan struct{})
+	store.hold(nil, release)
+	known := make(chan bool)
+	go func() { known <- r.isTrusted("front-1", "gone") }()
+	<-store.answers
+	if err := store.Delete(t.Context(), storeview.Nodes, "front-1", 0); err != nil {
+		t.Fatal(err)
+	}
+	r.refresh(t.Context(), time.Now())
+	close(release)
+	if <-known || r.has("gone") {
+		t.Error("an entry that a later list lacks is trusted")
+	}
+}
