Registry: a node counts itself before its entry is in the store

A node whose entry the store had not accepted yet, or whose list was from before it, counted one node too few. Beside a single other one it took itself for the only node: it read the store as the first reader of its own fleet, and used the whole of each limit that the nodes share.

The entry of this host is counted once, whether the list has that of this process, of the one before, or none.

--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -87,6 +87,8 @@
 	// trusted has the revisions of the entries by fingerprint, zero for this node's.
 	trusted map[string]topology.Revision
 	seeds   []string
+	// nodes is the number of nodes with an entry as of the latest list, this one included.
+	nodes int
 	// listed is the start of the latest list, and listRevision the store's revision in
 	// the latest answer to one.
 	listed       time.Time
@@ -261,7 +263,7 @@
 func (r *registry) nodeCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(len(r.seeds), 1)
+	return max(r.nodes, 1)
 }
 
 // refresh reads the entries, unless a list has begun after the given time, and
@@ -292,6 +294,7 @@
 	trusted := map[string]topology.Revision{r.own.Fingerprint: 0}
 	var seeds []string
 	var ownRevision topology.Revision
+	others := 0
 	for _, o := range objects {
 		var e entry
 		if err := json.Unmarshal(o.Spec, &e); err != nil || e.Fingerprint == "" {
@@ -301,6 +304,9 @@
 		if e.Fingerprint == r.own.Fingerprint {
 			ownRevision = o.Revision
 		}
+		if o.Name != r.host {
+			others++
+		}
 		trusted[e.Fingerprint] = o.Revision
 		seeds = append(seeds, e.PeerAddress)
 	}
@@ -312,6 +318,7 @@
 		}
 	}
 	r.trusted, r.seeds, r.ownRevision, r.listRevision = trusted, seeds, ownRevision, revision
+	r.nodes = others + 1
 }
 
 // Seeds implements membership.SeedSource.
--- a/pkg/edge/registry_test.go
+++ b/pkg/edge/registry_test.go
@@ -149,3 +149,27 @@
 		t.Error("an entry that a later list lacks is trusted")
 	}
 }
+
+// TestCountBeforeOwnEntry guards against a node that takes itself for the only one, and
+// so for the first reader with all of each limit, because the list that it has is from
+// before its own entry.
+func TestCountBeforeOwnEntry(t *testing.T) {
+	store := newHeldStore()
+	if err := store.Put(t.Context(), storeview.Nodes, "front-1", entry{Fingerprint: "other", PeerAddress: "127.0.0.2:1"}); err != nil {
+		t.Fatal(err)
+	}
+	r := newRegistry(store, "front-0", entry{Fingerprint: "own"})
+	r.log = slog.New(slog.DiscardHandler)
+	t.Cleanup(r.close)
+	r.refresh(t.Context(), time.Now())
+	if got := r.nodeCount(); got != 2 {
+		t.Errorf("the number of nodes is %d, want the other one and this one", got)
+	}
+	if err := store.Put(t.Context(), storeview.Nodes, "front-0", entry{Fingerprint: "the process before"}); err != nil {
+		t.Fatal(err)
+	}
+	r.refresh(t.Context(), time.Now())
+	if got := r.nodeCount(); got != 2 {
+		t.Errorf("the number of nodes is %d beside the entry of this host's last process, want 2", got)
+	}
+}
