Canary: the sum of a new aggregator doesn't take the ramp back

When one of the nodes that sum the reports of a rollout was replaced late in it, other nodes fell from a share of 1.00 at the new release to the canary's 0.05 for up to a second: sessions that had moved returned to the old release.

Cause: each sum replaced the one before, whichever had arrived last. That of a node that has just started lacks the reports of the others, so its number of good answers is below the least that the ramp needs, and its number of requests hides what has been exposed. Sums come from three nodes and out of order, too. The counts only grow, so a sum with fewer requests has no effect now, and good answers that were known stay known.

--- a/pkg/canary/messages.go
+++ b/pkg/canary/messages.go
@@ -216,7 +216,7 @@
 		return
 	}
 	if m.Sum {
-		ro.sum = m
+		ro.takeSum(m)
 		if m.Complete && !ro.complete {
 			ro.complete, ro.completedAt = true, now
 		}
@@ -245,6 +245,16 @@
 	}
 }
 
+// takeSum takes over the counts of a sum. Sums come from several aggregators, out of
+// order, and one that has just started has few reports, so those with fewer requests
+// have no effect.
+func (ro *rollout) takeSum(m Message) {
+	m.NewGood = max(m.NewGood, ro.sum.NewGood)
+	if m.Sent >= ro.sum.Sent {
+		ro.sum = m
+	}
+}
+
 // maxForwardedSessions bounds the sessions to forward at a node that peers
 // treat as an aggregator but that does not send sums.
 const maxForwardedSessions = 16 * maxMessageSessions
