Canary: a report that another one has overtaken is dropped

A node whose older report arrived after a newer one counted as drained, or as fresh, by the older one, and its counts went back: a rollout may then be completed, which stops the old upstreams, while a node has requests there.

Cause: reports counted by their arrival. The time since the start that a node states never falls, so a report with less than the latest one is dropped.

TestLateReportIsNotNews failed before; it and the tests of whole rollouts pass.

--- a/pkg/canary/messages.go
+++ b/pkg/canary/messages.go
@@ -221,14 +221,17 @@
 			ro.complete, ro.completedAt = true, now
 		}
 	} else {
-		ro.replaceReports(&m)
 		if m.All {
 			ro.reportedAll[hashing.Hash(m.Node)], ro.asking[m.Node] = true, true
 		}
 		for _, node := range m.AllFrom {
 			ro.reportedAll[node] = true
 		}
-		ro.peers[m.Node] = peerReport{message: m, at: now, cells: mergeCells(m.Cells, ro.peers[m.Node].cells)}
+		// Messages may overtake each other; a node's elapsed time never falls.
+		if last := ro.peers[m.Node]; m.ElapsedMS >= last.message.ElapsedMS {
+			ro.replaceReports(&m)
+			ro.peers[m.Node] = peerReport{message: m, at: now, cells: mergeCells(m.Cells, last.cells)}
+		}
 		ro.oldSessions = latestSessions(append(ro.oldSessions, m.OldSessions...))
 		ro.newSessions = latestSessions(append(ro.newSessions, m.NewSessions...))
 	}
--- a/pkg/canary/messages_test.go
+++ b/pkg/canary/messages_test.go
@@ -40,3 +40,35 @@
 		}
 	}
 }
+
+// TestLateReportIsNotNews guards against a rollout that is completed on a report that
+// another one has overtaken.
+func TestLateReportIsNotNews(t *testing.T) {
+	w := newSimulation(1, 2, 0)
+	w.advance()
+	for range 4 {
+		w.advance()
+	}
+	s, now := w.nodes[0].service, w.clock.Now()
+	ro := s.rollouts["pool"]
+	report := Message{
+		Node: w.nodes[1].id, Service: "pool", Created: w.rollout.Created, Target: w.rollout.Target,
+		ElapsedMS: 2000, NewSent: 20, Sent: 40,
+	}
+	late := report
+	late.ElapsedMS, late.NewSent, late.Sent, late.Drained = 1500, 10, 30, true
+	s.receive(report)
+	s.receive(late)
+	if exposed, sent := ro.counted(); exposed != 20 || sent != 40 {
+		t.Errorf("%d of %d requests are known, want 20 of 40", exposed, sent)
+	}
+	if len(ro.drainedNodes(now, maxReportAge)) > 0 {
+		t.Error("a node counts as drained by a report from before its latest one")
+	}
+	next := report
+	next.Stats = Stats{"route/": {New: Count{Good: 1}}}
+	s.receive(next)
+	if ro.goodAnswers() != 1 {
+		t.Error("a report of the same millisecond is not taken over")
+	}
+}
