--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -83,17 +83,22 @@
 	// listing serializes the lists.
 	listing sync.Mutex
 	// mu guards the fields below.
-	mu      sync.Mutex
-	trusted map[string]bool
+	mu sync.Mutex
+	// trusted has the revisions of the entries by fingerprint, zero for this node's.
+	trusted map[string]topology.Revision
 	seeds   []string
-	// listed is the start of the latest list.
-	listed time.Time
+	// nodes is the number of nodes with an entry as of the latest list, this one included.
+	nodes int
+	// listed is the start of the latest list, and listRevision the store's revision in
+	// the latest answer to one.
+	listed       time.Time
+	listRevision topology.Revision
 	// ownRevision is the revision of this node's entry, zero if it is not known.
 	ownRevision topology.Revision
 }
 
 func newRegistry(store entryStore, host string, own entry) *registry {
-	r := &registry{store: store, host: host, own: own, trusted: map[string]bool{own.Fingerprint: true}}
+	r := &registry{store: store, host: host, own: own, trusted: map[string]topology.Revision{own.Fingerprint: 0}}
 	r.ctx, r.close = context.WithCancel(context.Background())
 	return r
 }
@@ -237,13 +242,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trusted[fingerprint] = true
+	if _, listed := r.trusted[fingerprint]; !listed && object.Revision <= r.listRevision {
+		return false, true // A later list lacks the entry.
+	}
+	r.trusted[fingerprint] = object.Revision
 	return true, true
 }
 
 func (r *registry) has(fingerprint string) bool {
 	r.mu.Lock()
-	trusted := r.trusted[fingerprint]
+	_, trusted := r.trusted[fingerprint]
 	r.mu.Unlock()
 	if trusted || r.live == nil {
 		return trusted
@@ -255,7 +263,7 @@
 func (r *registry) nodeCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(len(r.seeds), 1)
+	return max(r.nodes, 1)
 }
 
 // refresh reads the entries, unless a list has begun after the given time, and
@@ -278,14 +286,15 @@
 	r.mu.Lock()
 	r.listed = time.Now()
 	r.mu.Unlock()
-	objects, _, err := r.store.List(ctx, storeview.Nodes)
+	objects, revision, err := r.store.List(ctx, storeview.Nodes)
 	if err != nil {
 		r.log.Warn(eventlog.StoreLost, "kind", storeview.Nodes.String(), "error", err.Error())
 		return
 	}
-	trusted := map[string]bool{r.own.Fingerprint: true}
+	trusted := map[string]topology.Revision{r.own.Fingerprint: 0}
 	var seeds []string
 	var ownRevision topology.Revision
+	others := 0
 	for _, o := range objects {
 		var e entry
 		if err := json.Unmarshal(o.Spec, &e); err != nil || e.Fingerprint == "" {
@@ -295,12 +304,21 @@
 		if e.Fingerprint == r.own.Fingerprint {
 			ownRevision = o.Revision
 		}
-		trusted[e.Fingerprint] = true
+		if o.Name != r.host {
+			others++
+		}
+		trusted[e.Fingerprint] = o.Revision
 		seeds = append(seeds, e.PeerAddress)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trusted, r.seeds, r.ownRevision = trusted, seeds, ownRevision
+	for fingerprint, verified := range r.trusted {
+		if verified > revision {
+			trusted[fingerprint] = verified // The list is older than this entry.
+		}
+	}
+	r.trusted, r.seeds, r.ownRevision, r.listRevision = trusted, seeds, ownRevision, revision
+	r.nodes = others + 1
 }
 
 // Seeds implements membership.SeedSource.
