Log: lines of refusals displace routine lines

Operators could miss the line about a denial: once 2,048 lines waited for the log's reader, a warning was dropped although up to 1,536 of them were routine, and refusals of a leaving node and "configuration taken" counted as routine because of their level. Lines dropped last were never reported.

Cause: the queue could only turn away the newest line.

A line that is not routine now takes the place of the oldest routine one. A log that is closed ends with the number of dropped lines.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -16,7 +16,7 @@
 	// queueLines is the capacity of the queue. At a few hundred bytes a line the
 	// queue stays below 1 MB.
 	queueLines = 2048
-	// reserveLines of the queue are reserved for warnings and errors, so that
+	// reserveLines of the queue are reserved for lines that are not routine, so that
 	// routine lines cannot displace the record of a failure.
 	reserveLines = 512
 	// flushTimeout bounds the wait for the queue when the process exits.
@@ -25,40 +25,42 @@
 
 // Log is a slog output with a bounded queue.
 type Log struct {
-	out     io.Writer
-	queue   chan []byte
-	done    chan struct{}
-	mu      sync.Mutex
+	out  io.Writer
+	done chan struct{}
+	lost *metrics.Counter
+
+	mu sync.Mutex
+	// changed is signalled when a line has been queued or the log is closed.
+	changed *sync.Cond
+	queue   queue
 	dropped int
 	closed  bool
-	lost    *metrics.Counter
 }
 
 // New starts a log that writes to out until Close is called.
 func New(out io.Writer) *Log {
 	l := &Log{
-		out: out, queue: make(chan []byte, queueLines), done: make(chan struct{}),
+		out: out, done: make(chan struct{}),
 		lost: metrics.GetOrCreateCounter("cassiapin_log_lines_dropped_total"),
 	}
-	metrics.GetOrCreateGauge("cassiapin_log_lines_waiting", func() float64 { return float64(len(l.queue)) })
+	l.changed = sync.NewCond(&l.mu)
+	metrics.GetOrCreateGauge("cassiapin_log_lines_waiting", func() float64 { return float64(l.waiting()) })
 	go l.write()
 	return l
 }
 
 // Logger returns a logger that writes JSON lines at or above the level.
 func (l *Log) Logger(level slog.Leveler) *slog.Logger {
-	routine := slog.NewJSONHandler(&sink{log: l, limit: queueLines - reserveLines}, &slog.HandlerOptions{Level: level})
-	urgent := slog.NewJSONHandler(&sink{log: l, limit: queueLines}, &slog.HandlerOptions{Level: level})
-	return slog.New(&split{routine: routine, urgent: urgent})
+	routine := slog.NewJSONHandler(&sink{log: l, routine: true}, &slog.HandlerOptions{Level: level})
+	other := slog.NewJSONHandler(&sink{log: l}, &slog.HandlerOptions{Level: level})
+	return slog.New(&split{routine: routine, other: other})
 }
 
 // Close writes the queued lines; it returns after flushTimeout at the latest.
 func (l *Log) Close() {
 	l.mu.Lock()
-	if !l.closed {
-		l.closed = true
-		close(l.queue)
-	}
+	l.closed = true
+	l.changed.Signal()
 	l.mu.Unlock()
 	select {
 	case <-l.done:
@@ -66,36 +68,73 @@
 	}
 }
 
+// waiting returns the number of queued lines.
+func (l *Log) waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.length
+}
+
 func (l *Log) write() {
 	defer close(l.done)
-	for line := range l.queue {
-		if _, err := l.out.Write(line); err != nil {
+	for text := l.next(); text != nil; text = l.next() {
+		if _, err := l.out.Write(text); err != nil {
 			// The log's reader is gone; the counter is the only record.
 			l.lost.Inc()
 		}
 	}
 }
 
-// enqueue queues a line if fewer than room lines are queued, and drops it
-// otherwise.
-func (l *Log) enqueue(line []byte, room int) {
+// next waits for a line; it returns nil once the log is closed and all lines have
+// been taken.
+func (l *Log) next() []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || len(l.queue) >= room {
-		l.dropped++
-		l.lost.Inc()
+	for l.queue.length == 0 {
+		if l.closed {
+			return l.droppedLine()
+		}
+		l.changed.Wait()
+	}
+	return l.queue.pop().text
+}
+
+// enqueue queues a line. A line without room is dropped, unless it is not routine and
+// can take the place of a routine one.
+func (l *Log) enqueue(text []byte, routine bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		l.drop()
 		return
 	}
-	if l.dropped > 0 && len(l.queue) < cap(l.queue)-1 {
-		l.queue <- droppedLine(l.dropped)
-		l.dropped = 0
+	if !l.queue.room(1, routine) {
+		l.drop() // This line or a routine one.
+		if routine || !l.queue.evict() {
+			return
+		}
+	}
+	if l.dropped > 0 && l.queue.room(2, false) {
+		l.queue.push(line{text: l.droppedLine()})
 	}
-	l.queue <- line
+	l.queue.push(line{text: text, routine: routine})
+	l.changed.Signal()
+}
+
+func (l *Log) drop() {
+	l.dropped++
+	l.lost.Inc()
 }
 
-func droppedLine(n int) []byte {
+// droppedLine returns a line about the lines that have been dropped since the last
+// one, or nil if there are none. The caller holds the lock.
+func (l *Log) droppedLine() []byte {
+	if l.dropped == 0 {
+		return nil
+	}
 	var b buffer
-	slog.New(slog.NewJSONHandler(&b, nil)).Warn(LinesDropped, "lines", n)
+	slog.New(slog.NewJSONHandler(&b, nil)).Warn(LinesDropped, "lines", l.dropped)
+	l.dropped = 0
 	return b
 }
 
@@ -108,11 +147,11 @@
 
 // sink is the writer of a slog handler, which writes one line per call.
 type sink struct {
-	log   *Log
-	limit int
+	log     *Log
+	routine bool
 }
 
 func (s *sink) Write(p []byte) (int, error) {
-	s.log.enqueue(append([]byte(nil), p...), s.limit)
+	s.log.enqueue(append([]byte(nil), p...), s.routine)
 	return len(p), nil
 }
--- a/pkg/eventlog/eventlog_test.go
+++ b/pkg/eventlog/eventlog_test.go
@@ -39,11 +39,11 @@
 	if took := time.Since(start); took > 2*time.Second {
 		t.Errorf("%d lines took %s while the writer is blocked", 5*queueLines, took)
 	}
-	if n := len(log.queue); n > queueLines {
+	if n := log.waiting(); n > queueLines {
 		t.Errorf("%d lines queued, limit %d", n, queueLines)
 	}
 	close(out.release)
-	for end := time.Now().Add(5 * time.Second); len(log.queue) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(5 * time.Second); log.waiting() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	logger.Info(NodeStopped)
