Log: what decided on a denial stands in the first 200 characters

The record of an incident has lines that are cut at 200 characters. Those of denials ended within the reason, so that nobody could tell what had confirmed the configuration that denied.

Cause: the node's id stood before the fields of the line, and route, reason and times before the code and the confirmation.

A line now has request, code, config and what decided first, then status and the rest, and node and stamp at its end. The fields of the confirmation have short names: proof, proof_ms, rev, ann, rank (before: confirmed_by, confirmed_ago_ms, store_revision, announced_revision, reader_rank).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -85,9 +85,8 @@
 	var raw [idBytes]byte
 	_, _ = rand.Read(raw[:]) // crypto/rand does not fail since Go 1.24.
 	id := s.Host + "-" + hex.EncodeToString(raw[:])
-	log = log.With("node", id)
 	k := kernel.New(clock.Real{}, log)
-	k.Log = eventlog.Stamped(log, k.HLC)
+	k.Log = eventlog.Stamped(log, id, k.HLC)
 	n := &Node{settings: s, log: k.Log, kernel: k, stop: drain.NewStop()}
 	services, err := n.assemble(id)
 	if err != nil {
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -141,6 +141,8 @@
 	// called by requests that wait for them.
 	outdated       bool
 	onAwaitCurrent func()
+	// confirmation replaces the usual one.
+	confirmation *storeview.Confirmation
 }
 
 func (n *fakeNode) View() *topology.View             { return n.view }
@@ -155,6 +157,9 @@
 	return !n.outdated
 }
 func (n *fakeNode) Confirmation(storeview.Kind) storeview.Confirmation {
+	if n.confirmation != nil {
+		return *n.confirmation
+	}
 	return storeview.Confirmation{Source: "watch", Age: 40 * time.Millisecond, Revision: 7, Rank: 1}
 }
 func (n *fakeNode) Nodes() []string                   { return n.ids }
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -320,16 +320,32 @@
 // by more.
 func (f *flow) attrs(more ...any) []any {
 	attrs := []any{"request", f.request.ID}
+	return append(f.describe(f.addConfig(attrs)), more...)
+}
+
+// answerAttrs is attrs for lines about answers of the node's own. What decided on the
+// answer comes first, because collectors may cut lines.
+func (f *flow) answerAttrs(code result.Code, decisive []any, more ...any) []any {
+	attrs := f.addConfig([]any{"request", f.request.ID, "code", int(code)})
+	return append(f.describe(append(attrs, decisive...)), more...)
+}
+
+func (f *flow) addConfig(attrs []any) []any {
 	if f.view.Config != nil {
 		attrs = append(attrs, "config", f.view.Config.Version)
 	}
+	return attrs
+}
+
+// describe appends log fields about the request.
+func (f *flow) describe(attrs []any) []any {
 	if f.route != nil {
 		attrs = append(attrs, "route", f.route.Name, "kind", f.route.Kind.String(), "organisation", f.organisationName())
 	}
 	if p, leaving := f.service.opts.Stop.Phases(); leaving {
 		attrs = append(attrs, "after_stop_ms", f.request.Received.Sub(p.Requested).Milliseconds())
 	}
-	return append(attrs, more...)
+	return attrs
 }
 
 func (f *flow) elapsed() time.Duration { return f.service.clock.Since(f.request.Received) }
@@ -337,31 +353,36 @@
 // refuse answers with a refusal: the request has not run and will not.
 func (f *flow) refuse(code result.Code, retryAfter time.Duration, reason string) {
 	f.countOutcome(outcomeRefused)
-	attrs := f.attrs("code", int(code), "reason", reason,
-		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)
+	var decisive []any
 	switch code {
 	case result.NoRunner:
-		attrs = append(attrs, f.exclusions()...)
+		decisive = f.exclusions()
 	case result.NoConfiguration, result.NotFound, result.Unauthenticated:
-		attrs = append(attrs, f.confirmation()...)
+		decisive = f.confirmation()
 	}
+	attrs := f.answerAttrs(code, decisive, "status", code.HTTPStatus(), "reason", reason,
+		"retry_after_ms", retryAfter.Milliseconds(), "elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends)
 	f.service.log.Warn(eventlog.RequestRefused, attrs...)
 	f.out.Refuse(Refusal{Status: code.HTTPStatus(), Code: code, RetryAfter: retryAfter, Reason: reason})
 }
 
-// confirmation returns the log fields about what a denial rests on.
+// confirmation returns the log fields about what a denial rests on. Their names are
+// short, so that all of them stand in the first 200 characters of the line.
 func (f *flow) confirmation() []any {
 	c := f.service.opts.Views.Confirmation(storeview.Configurations)
 	return []any{
-		"confirmed_by", c.Source, "confirmed_ago_ms", c.Age.Milliseconds(),
-		"store_revision", c.Revision, "announced_revision", c.Announced, "reader_rank", c.Rank,
+		"proof", c.Source, "proof_ms", c.Age.Milliseconds(), "rev", c.Revision, "ann", c.Announced, "rank", c.Rank,
 	}
 }
 
 // fail answers with an error: the request may have run, but has no answer.
 func (f *flow) fail(code result.Code, reason string) {
 	f.countOutcome(outcomeFailed)
-	f.service.log.Error(eventlog.RequestFailed, f.attrs("code", int(code), "reason", reason,
+	status := code.HTTPStatus()
+	if f.begun {
+		status = 0 // The answer has a status already.
+	}
+	f.service.log.Error(eventlog.RequestFailed, f.answerAttrs(code, nil, "status", status, "reason", reason,
 		"elapsed_ms", f.elapsed().Milliseconds(), "sends", f.sends, "upstream", f.lastUpstreamID(), "delivered", f.delivered)...)
 	if f.begun {
 		f.out.Abort()
