Requests at the wrong address get 421; each own refusal has a line

Callers whose requests reached the directory, readiness or metrics address got the 404 or 405 of its mux, which looks like a denial by the configuration, is not retried and stood in no line of the log. A body that was too large (413) had no line, one that was late or had no memory (408, 503) had neither code nor status, nor had lookups without a node. Requests that net/http refuses left no trace, and it answered OPTIONS * with a 200 of its own.

A request with an id and an unknown path at these addresses now gets 421, code 114, which promises that it has not run; other requests there are answered as before. Each refusal has one line with request, code and status.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -183,7 +183,7 @@
 		Closing: func() bool { return n.leaving.Load() || n.callers.Crowded() },
 	}
 	addresses := &directory{members: n.members, storeInTouch: n.storeInTouch, maxTTL: s.Bounds.DirectoryTTL.Std()}
-	out := newServers(n.idleLimit)
+	out := newServers(n.idleLimit, n.log)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -194,9 +194,9 @@
 		optional bool
 	}{
 		{address: s.Entry, handler: callers, connections: n.callers, callers: true},
-		{address: s.Ready, handler: platform.ReadinessHandler(n.Ready), connections: budget.NewConnections(files.Operators)},
+		{address: s.Ready, handler: platform.ReadinessHandler(n.Ready, n.log), connections: budget.NewConnections(files.Operators)},
 		{address: s.Directory, handler: platform.DirectoryHandler(addresses, n.log), connections: budget.NewConnections(files.Directory)},
-		{address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), handler: metricsHandler(), connections: budget.NewConnections(files.Operators), optional: true},
+		{address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), handler: metricsHandler(n.log), connections: budget.NewConnections(files.Operators), optional: true},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil && l.optional {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -23,13 +23,15 @@
 	nodes []*Node
 	// peerPort is the UDP port of all nodes.
 	peerPort int
+	// log is the log of nodes that start.
+	log *slog.Logger
 	// ran counts the requests handled by each runner.
 	ran map[string]*atomic.Int64
 }
 
 func newFleet(t *testing.T, nodes int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: platformtest.NewStore(t), peerPort: freePeerPort(t, nodes+1), ran: map[string]*atomic.Int64{}}
+	f := &testFleet{t: t, store: platformtest.NewStore(t), peerPort: freePeerPort(t, nodes+1), log: slog.New(slog.DiscardHandler), ran: map[string]*atomic.Int64{}}
 	f.configure(1, "/lookup/")
 	f.runner("i-1", "v1")
 	f.runner("i-2", "v1")
@@ -110,7 +112,7 @@
 		f.t.Fatal(err)
 	}
 	change(s)
-	n, err := New(s, slog.New(slog.DiscardHandler))
+	n, err := New(s, f.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"cassiapin/pkg/budget"
 	"cassiapin/pkg/hangup"
 	"cassiapin/pkg/kernel"
+	"cassiapin/platform"
 )
 
 const (
@@ -34,12 +36,13 @@
 	all []*server
 	// hangups watches the connections of callers with open requests.
 	hangups *hangup.Watcher
+	unread  *unread
 	// idleLimit returns how long callers' connections may be idle; zero is not known.
 	idleLimit func() time.Duration
 }
 
-func newServers(idleLimit func() time.Duration) *servers {
-	return &servers{hangups: hangup.NewWatcher(), idleLimit: idleLimit}
+func newServers(idleLimit func() time.Duration, log *slog.Logger) *servers {
+	return &servers{hangups: hangup.NewWatcher(), unread: &unread{log: log}, idleLimit: idleLimit}
 }
 
 type server struct {
@@ -63,9 +66,14 @@
 	out.ConnState = connections.ConnState
 	if callers {
 		out.MaxHeaderBytes = maxHeaderBytes
-		out.Handler = connections.Handler(s.hangups.Handler(handler))
+		out.DisableGeneralOptionsHandler = true // It would answer requests for * with 200.
+		out.Handler = s.unread.handler(connections.Handler(s.hangups.Handler(handler)))
 		out.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-			return budget.ConnContext(hangup.ConnContext(ctx, conn), conn)
+			return budget.ConnContext(hangup.ConnContext(s.unread.connContext(ctx, conn), conn), conn)
+		}
+		out.ConnState = func(conn net.Conn, state http.ConnState) {
+			connections.ConnState(conn, state)
+			s.unread.connState(conn, state)
 		}
 	}
 	s.all = append(s.all, out)
@@ -114,8 +122,8 @@
 }
 
 // metricsHandler serves the process's metrics.
-func metricsHandler() http.Handler {
+func metricsHandler(log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return mux
+	return platform.RefuseMisdirected(mux, log)
 }
--- a/pkg/eventlog/events.go
+++ b/pkg/eventlog/events.go
@@ -35,6 +35,8 @@
 	StreamResumed  = "stream resumed"
 	RequestTimeout = "request did not arrive in time"
 	BodyRefused    = "no memory for a body"
+	LookupRefused  = "no node for a lookup"
+	RequestUnread  = "request not read"
 	RequestPanic   = "request ended with a panic"
 
 	PartQuarantined = "prompt part quarantined"
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -17,6 +17,7 @@
 	MethodNotAllowed       Code = 111
 	OperatorKeyRequired    Code = 112
 	RequestTimeout         Code = 113
+	Misdirected            Code = 114
 )
 
 // Codes 2xx: the request exceeds the current capacity or a limit.
@@ -105,6 +106,7 @@
 	{MethodNotAllowed, "method_not_allowed", 405, "The path does not accept the method."},
 	{OperatorKeyRequired, "operator_key_required", 401, "The operator interface needs a valid operator key."},
 	{RequestTimeout, "request_timeout", 408, "The request did not arrive completely in time."},
+	{Misdirected, "misdirected", 421, "The request came to an address that serves no callers."},
 	{QueueFull, "queue_full", 429, "The admission queue of the organisation or class is full."},
 	{DeadlineUnmeetable, "deadline_unmeetable", 503, "The request cannot be answered before its deadline."},
 	{RateLimited, "rate_limited", 429, "The organisation's rate limit is reached."},
