Store view: findings of a review of the fix

Mended here, each with its test unless it says otherwise:

- Only the first reader listed again.
A standby that reads because the first one is silent, and a node that no reader reaches, went on with the hole of their watches: TestChangeThatNoWatchShows, now with these fleets too, failed for all kinds (standby) and for three (no reader).
Any node without a notice to rely on lists a small kind instead of watching it.
- A read proved the state before: proofs were given by the digest of the follower's last step, reads compare with the objects (TestReadProvesOnlyItsState).
- A reader with later objects and an earlier revision was ignored for good (TestLaterStateOfLaggingReader); its digest, seen twice, now causes a list.
- No test: a due list is made at once; a request for one can't be lost; a list repairs a configuration whose copy in a notice was damaged; reads for proofs have a pause and are not made while a list is requested; the lost answer of a small list is noticed as soon as that of a watch; a read for a proof whose history is lost requests a list; notices are not taken for revisions of the store.

--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -12,8 +12,7 @@
 // proof is a time, on the clock of pauses, at which a node's view of a kind had all
 // changes that the store had made. Delays only make it earlier: a read of the objects
 // proves the time of its start, and another node's proof counts back from the time at
-// which that node was asked. A watch proves nothing, as it may miss changes and what it
-// has read is only as complete as the revision that it begins after. The time that a message was on its way, or a notice
+// which that node was asked. The followers' watches prove nothing, as they may miss changes. The time that a message was on its way, or a notice
 // waited in a queue, is unknown to its receiver, so notices prove nothing.
 type proof struct {
 	at     time.Duration
@@ -158,8 +157,11 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.readRequests:
-			if s.proofOlder(kind, readShare) {
+			if s.proofOlder(kind, readShare) && !s.listRequested[kind].Load() {
 				s.proveByRead(ctx, kind)
+				if s.clock.Sleep(ctx, s.coalesce(kind)) != nil {
+					return
+				}
 			}
 		}
 	}
@@ -197,8 +199,12 @@
 	from := s.latestProgress[kind].from
 	s.mu.Unlock()
 	if kind == Configurations && !s.smallConfig() {
-		// A large one is not sent again: all changes up to from are known.
+		// A large one is not sent again. It is one object, so a look at the changes after
+		// from, up to which all are known, tells whether it is the newest.
 		changes, revision, err := s.opts.Store.Watch(ctx, kind, from, time.Millisecond, proofReadTimeout)
+		if errors.Is(err, ErrHistoryLost) {
+			return false, nil
+		}
 		s.revealed.Note(revision)
 		return len(changes) == 0, err
 	}
@@ -251,7 +257,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.latestProgress[q.Kind]
-	if q.Digest == 0 || q.Digest != known.digest {
+	if q.Digest == 0 || q.Digest != s.digests[q.Kind].value() {
 		return s.newestLocked(q)
 	}
 	if s.proofOlderLocked(q.Kind, readShare) {
@@ -302,7 +308,7 @@
 	case kind != Configurations || c.Deleted:
 	case !decoded:
 		s.undecoded = max(s.undecoded, c.Object.Revision)
-	case c.Object.Revision > s.undecoded:
+	case c.Object.Revision >= s.undecoded:
 		s.undecoded = 0
 	}
 }
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -45,7 +45,7 @@
 	kind    Kind
 	// from is the revision up to which answers have shown all changes; it is valid only
 	// once listed is set. The revision of an answer may be later than what it shows:
-	// see shownByList and shownByWatch.
+	// see listAnswer.shown and watchAnswer.shown. The state may have later changes.
 	from   topology.Revision
 	listed bool
 	// listedAt is the start of the latest list.
@@ -74,6 +74,8 @@
 	// relistDue is set until the list that it requires.
 	differing uint64
 	relistDue bool
+	// lagging is the digest in the latest notice from before from.
+	lagging uint64
 }
 
 // follow lists and watches one kind until ctx ends.
@@ -131,7 +133,7 @@
 	switch {
 	case lists:
 		var a listAnswer
-		if a, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
+		if a, err = f.list(ctx, f.changedBetween(start)); err == nil {
 			f.noteList(a, revealed, start)
 			changes = a.news
 		}
@@ -180,17 +182,38 @@
 	return !f.listed || f.relistDue || f.missesSeveral() || f.rereadDue()
 }
 
-// rereadDue reports whether this node, as the first reader, has to list a small kind
-// again. A watch may end without a change of its time, or with a later one only. No call
-// of another node finds it then, as they rely on this one.
+// rereadDue reports whether this node has to list a small kind again: as the first reader
+// before the bound has passed, and any other when it has no notice to rely on. A watch may
+// end without a change of its time, or with a later one only, and no call of a node that
+// relies on this one finds it then.
 func (f *follower) rereadDue() bool {
 	s := f.service
-	if s.rank() != 0 || s.objectCount(f.kind) > maxRereadObjects || f.kind == Configurations && !s.smallConfig() {
+	if !f.small() {
 		return false
 	}
+	if s.rank() > 0 {
+		return f.freshFor() <= 0
+	}
 	return s.clock.Since(f.listedAt)+f.wait() > time.Duration(rereadShare*float64(s.opts.EffectiveIn[f.kind]))
 }
 
+// small reports whether a list of the kind costs about as much as a watch.
+func (f *follower) small() bool {
+	s := f.service
+	return s.objectCount(f.kind) <= maxRereadObjects && (f.kind != Configurations || s.smallConfig())
+}
+
+// list lists the kind. A small one that has been listed before has to answer as soon as
+// a watch without a wait, so that a lost answer doesn't delay the next call.
+func (f *follower) list(ctx context.Context, appeared time.Time) (listAnswer, error) {
+	if f.listed && f.small() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, f.callTimeout)
+		defer cancel()
+	}
+	return f.service.list(ctx, f.kind, appeared)
+}
+
 // noteList records a list that began at a time, when the store had revealed a revision.
 func (f *follower) noteList(a listAnswer, revealed topology.Revision, start time.Time) {
 	s := f.service
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cassiapin/pkg/clock"
@@ -273,7 +274,7 @@
 // that a notice does not include, or because no notice arrived in time.
 func (f *follower) consumeNotices(ctx context.Context) {
 	s := f.service
-	for f.listed && s.rank() > 0 {
+	for f.listed && s.rank() > 0 && !f.relistDue && !s.listRequested[f.kind].Load() {
 		paused := s.pauses.nextEnd()
 		if s.unconfirmed(f.kind) {
 			f.latency = 0 // Notices that arrived during a pause are as old as the view.
@@ -340,14 +341,21 @@
 // applyNotice applies a notice. It returns false when the store must be called.
 func (f *follower) applyNotice(n Notice) bool {
 	s := f.service
-	s.revealed.Note(n.To)
 	n.unpack()
 	switch {
 	case n.digest != 0 && n.digest == f.digest():
 		// This node has the same objects, also if it has not read up to n.From.
 		n.To = max(n.To, f.from)
 	case n.To < f.from:
-		return true // From a reader that lags; it has nothing new.
+		// From a reader that lags, or another notice has overtaken it. A reader that
+		// stays with other objects knows more than the revision says, or less.
+		if n.digest == 0 {
+			f.applyDeletions(n)
+			return true
+		}
+		again := n.digest == f.lagging
+		f.lagging = n.digest
+		return !again || !f.relist(n.digest)
 	case n.digest != 0 && n.From <= f.from:
 		// Nothing has changed since this node's revision, yet the objects differ.
 		return !f.relist(n.digest)
@@ -364,6 +372,7 @@
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from {
+		f.applyDeletions(n)
 		if f.failedSince.IsZero() {
 			return true
 		}
@@ -386,3 +395,22 @@
 	})
 	return true
 }
+
+// applyDeletions applies the deletions in a notice of a revision that this node has passed.
+// They may have the revisions of the changes before them, so the notice's revision says
+// nothing; an object that was created again has a later one.
+func (f *follower) applyDeletions(n Notice) {
+	deletions := slices.DeleteFunc(n.changes(), func(c Change) bool { return !c.Deleted })
+	if len(deletions) == 0 {
+		return
+	}
+	s := f.service
+	s.update(func(now time.Time) bool {
+		changed := false
+		for _, c := range s.digests[f.kind].news(deletions) {
+			changed = s.apply(f.kind, c, now, time.Time{}) || changed
+		}
+		return changed
+	})
+	f.recordLatestProgress()
+}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -135,8 +135,8 @@
 	// announced is the latest revision that a notice has announced without its
 	// changes, by kind.
 	announced [Nodes]atomic.Uint64
-	// revealed is the latest revision of the store in any answer or notice. What the
-	// store reads afterwards includes all changes up to it.
+	// revealed is the latest revision of the store in any answer. What the store reads
+	// afterwards includes all changes up to it.
 	revealed topology.LatestRevision
 	// confirmed is the start of the latest successful call of each kind, in
 	// nanoseconds of the clock of pauses.
@@ -278,7 +278,9 @@
 		changed := false
 		for _, o := range objects {
 			present[o.Name] = true
-			if c := (Change{Object: o}); !known.has(o) {
+			// Another node's copy of a configuration may be one that can't be decoded.
+			again := kind == Configurations && s.undecoded != 0
+			if c := (Change{Object: o}); again || !known.has(o) {
 				news = append(news, c)
 				changed = s.apply(kind, c, now, appeared) || changed
 			}
