Store view: what a list finds beyond its revision reaches the others

Two causes: a first reader that the store rejects goes on to report its old state for a bound, and all nodes that had a later one listed it, since they took it for a reader that knows more; and a list whose changes are later than the revision that it could show was published at that revision, so that its receivers dropped them and then differed.

Another state counts only if its reader has read the store later than this node's state was reported. Objects later than the revision of a notice are applied.

--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -347,13 +347,13 @@
 		// This node has the same objects, also if it has not read up to n.From.
 		n.To = max(n.To, f.from)
 	case n.To < f.from:
-		// From a reader that lags, or another notice has overtaken it. A reader that
-		// stays with other objects knows more than the revision says, or less.
+		// From a reader that lags, or another notice has overtaken it. A reader that has
+		// read the store later and stays with other objects knows what this node doesn't.
 		if n.digest == 0 {
-			f.applyDeletions(n)
+			f.applyLater(n)
 			return true
 		}
-		again := n.digest == f.lagging
+		again := n.digest == f.lagging && s.clock.Now().Add(-time.Duration(n.ageMS)*time.Millisecond).After(f.reported)
 		f.lagging = n.digest
 		return !again || !f.relist(n.digest)
 	case n.digest != 0 && n.From <= f.from:
@@ -372,7 +372,7 @@
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from {
-		f.applyDeletions(n)
+		f.applyLater(n)
 		if f.failedSince.IsZero() {
 			return true
 		}
@@ -396,18 +396,20 @@
 	return true
 }
 
-// applyDeletions applies the deletions in a notice of a revision that this node has passed.
-// They may have the revisions of the changes before them, so the notice's revision says
-// nothing; an object that was created again has a later one.
-func (f *follower) applyDeletions(n Notice) {
-	deletions := slices.DeleteFunc(n.changes(), func(c Change) bool { return !c.Deleted })
-	if len(deletions) == 0 {
+// applyLater applies what is later than the revision of a notice that this node has reached:
+// objects that a list has found after the revision that it could show, and deletions, which
+// may have the revisions of the changes before them.
+func (f *follower) applyLater(n Notice) {
+	later := slices.DeleteFunc(slices.Clone(n.Changes), func(c NoticeChange) bool {
+		return !c.Deleted && (c.Revision <= f.from || len(c.Patch) > 0)
+	})
+	if len(later) == 0 {
 		return
 	}
 	s := f.service
 	s.update(func(now time.Time) bool {
 		changed := false
-		for _, c := range s.digests[f.kind].news(deletions) {
+		for _, c := range s.digests[f.kind].news((&Notice{Changes: later}).changes()) {
 			changed = s.apply(f.kind, c, now, time.Time{}) || changed
 		}
 		return changed
