--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -46,7 +46,7 @@
 func newNode(t *testing.T, slot, index int, store string, peers *peerNet) *node {
 	t.Helper()
 	n := &node{
-		t: t, host: fmt.Sprintf("host-%d", index), ip: fmt.Sprintf("127.0.%d.%d", 3+slot, 10+index), domain: fmt.Sprintf("z%d", 1+index%2),
+		t: t, host: fmt.Sprintf("host-%d", index), ip: fmt.Sprintf("127.0.%d.%d", slot, 10+index), domain: fmt.Sprintf("z%d", 1+index%2),
 		storeProxy: newFaultProxy(t, store),
 	}
 	n.file = filepath.Join(t.TempDir(), "node.toml")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"io/fs"
 	"maps"
 	"math/rand"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -74,9 +75,30 @@
 // each.
 const maxFleets = 3
 
-// fleetSlots contains the slot numbers that are free. The addresses of a fleet's
-// nodes are derived from its slot number.
-var fleetSlots = make(chan int, maxFleets)
+// fleets has an entry for each fleet that runs.
+var fleets = make(chan struct{}, maxFleets)
+
+// Slots are ranges of loopback addresses. The one who listens on a slot's lock address
+// has it, also among several processes.
+const (
+	firstSlot = 16
+	slotCount = 200
+	lockPort  = 18100
+)
+
+// claimSlot returns a slot that no other fleet on this machine has until the end of the
+// test. The addresses of a fleet's nodes are derived from its slot.
+func claimSlot(t *testing.T) (slot int) {
+	for slot := firstSlot; slot < firstSlot+slotCount; slot++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", slot, lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return slot
+		}
+	}
+	t.Fatal("no free range of addresses")
+	return 0
+}
 
 const (
 	nodeCount   = 5
@@ -134,8 +156,9 @@
 const restartAfter = 700 * time.Millisecond
 
 func newFleet(t *testing.T, seed int64) *fleet {
-	slot := <-fleetSlots
-	t.Cleanup(func() { fleetSlots <- slot })
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	slot := claimSlot(t)
 	f := &fleet{
 		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), store: platformtest.NewStore(t),
 		record: platformtest.NewRecord(), started: time.Now(), faults: make(map[string][]*interval), peers: newPeerNet(t),
@@ -382,9 +405,6 @@
 			seeds = append(seeds, first+i)
 		}
 	}
-	for slot := range maxFleets {
-		fleetSlots <- slot
-	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
