--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -6,6 +6,7 @@
 // CASSIAPIN_SOAK_SEEDS gives the first seed and the number of seeds, as in
 // "100,50"; by default the seeds that failed in the past are run.
 // CASSIAPIN_SOAK_LOGS names a folder for the node logs of failed seeds.
+// CASSIAPIN_SOAK_LOAD is a number of processes that keep the machine busy meanwhile.
 package soak
 
 import (
@@ -18,6 +19,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +36,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(busyVariable) != "" {
+		for spins := 0; ; spins++ { // Until it is killed.
+		}
+	}
 	code, err := run(m)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -68,9 +74,47 @@
 	if err := build.Run(); err != nil {
 		return 1, fmt.Errorf("build the program: %w", err)
 	}
+	end, err := startLoad()
+	if err != nil {
+		return 1, err
+	}
+	defer end()
 	return m.Run(), nil
 }
 
+// busyVariable is set for the processes that keep the machine busy.
+const busyVariable = "CASSIAPIN_SOAK_BUSY"
+
+// startLoad starts the processes that keep the machine busy until end is called.
+func startLoad() (end func(), err error) {
+	var busy []*exec.Cmd
+	end = func() {
+		for _, cmd := range busy {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait() // It was killed.
+		}
+	}
+	text := os.Getenv("CASSIAPIN_SOAK_LOAD")
+	if text == "" {
+		return end, nil
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		return end, fmt.Errorf("CASSIAPIN_SOAK_LOAD=%q: %w", text, err)
+	}
+	for range count {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), busyVariable+"=1", "GOMAXPROCS=1")
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			end()
+			return end, fmt.Errorf("start a busy process: %w", err)
+		}
+		busy = append(busy, cmd)
+	}
+	return end, nil
+}
+
 // maxFleets limits the fleets that run concurrently, with nodeCount processes
 // each.
 const maxFleets = 3
