Soak: answers of the store that are late, and miss changes

In a lapse of the stand-in store, answers of watches, lists and gets are now sent up to 500 ms later than the store looked, with its revision of their sending; a share of the watches misses what is changed while they are open, those without a wait too. All that was acknowledged before a read began is in its answer. Nodes stop and start and the history is dropped meanwhile, and a last lapse is followed by the quiet time of the checks. A caller asks for routes that do not exist, so that nodes look for proofs, and runners that were evacuated or drain since the last lapse must get nothing. CASSIAPIN_SOAK_BLIND adds watches that miss what was acknowledged before they began.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -32,6 +32,7 @@
 	f.checkCrashes()
 	f.checkDepartures()
 	f.checkWishes()
+	f.checkWithdrawal()
 	f.event("%d of %d requests served, %d after the faults", served, len(f.outcomes), afterFaults)
 	if afterFaults < callerCount {
 		f.t.Errorf("only %d requests after the faults", afterFaults)
--- a/test/soak/configurations_test.go
+++ b/test/soak/configurations_test.go
@@ -33,11 +33,14 @@
 	acknowledged time.Time
 }
 
-// configure writes the next configuration. It adds a route and removes the oldest of
-// the added ones.
+// configure writes the next configuration, unless it is a quiet time. It adds a route
+// and removes the oldest of the added ones.
 func (f *fleet) configure() {
 	f.configMu.Lock()
 	defer f.configMu.Unlock()
+	if time.Now().Before(f.quietUntil) {
+		return
+	}
 	f.version += 1 + f.random.Intn(3)
 	f.added = append(f.added, addedRoute{path: fmt.Sprintf("/added-%d/", f.version)})
 	f.added = f.added[max(0, len(f.added)-addedRoutes):]
@@ -51,6 +54,23 @@
 	f.event("configuration %d", f.version)
 }
 
+// setQuiet begins a time without configurations; zero ends one.
+func (f *fleet) setQuiet(d time.Duration) {
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
+	f.quietUntil = time.Now().Add(d)
+	if d > 0 {
+		f.event("no configurations for %v", d)
+	}
+}
+
+// quiet reports whether it is a time without configurations.
+func (f *fleet) quiet() bool {
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
+	return time.Now().Before(f.quietUntil)
+}
+
 // latestPath returns the path of the route that the newest configuration has added.
 func (f *fleet) latestPath() string {
 	f.configMu.Lock()
@@ -127,15 +147,3 @@
 		}
 	}
 }
-
-// missChanges makes watches miss a configuration; then the store drops its history.
-func (f *fleet) missChanges(pause func()) {
-	defer f.recordFault(storeFaultKey)()
-	f.event("watches miss changes")
-	end := f.store.DeafenWatches()
-	pause()
-	f.configure()
-	pause()
-	end()
-	f.event("the store drops its history")
-}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,6 +7,8 @@
 // "100,50"; by default the seeds that failed in the past are run.
 // CASSIAPIN_SOAK_LOGS names a folder for the node logs of failed seeds.
 // CASSIAPIN_SOAK_LOAD is a number of processes that keep the machine busy meanwhile.
+// CASSIAPIN_SOAK_BLIND is the share of the store's watches, in a lapse, that miss
+// changes acknowledged before they began.
 package soak
 
 import (
@@ -170,10 +172,17 @@
 	started time.Time
 
 	// version is that of the newest configuration, and added are the routes that it and
-	// those before it have added. configMu guards both, and random.
-	configMu sync.Mutex
-	version  int
-	added    []addedRoute
+	// those before it have added. None is written before quietUntil. configMu guards
+	// these, and random.
+	configMu   sync.Mutex
+	version    int
+	added      []addedRoute
+	quietUntil time.Time
+
+	// lapseMu is held during a lapse of the store. withdrawn is what was withdrawn in
+	// the last one, nil without.
+	lapseMu   sync.Mutex
+	withdrawn *withdrawal
 
 	// crashPart is the part of prompts on which runners crash; empty is none.
 	crashPart string
@@ -263,6 +272,8 @@
 		callers.Add(1)
 		go newCaller(f, callerCount+1+i).probe(stop, &callers)
 	}
+	callers.Add(1)
+	go newCaller(f, callerCount+1+proberCount).doubt(stop, &callers)
 	for i := range leaverCount {
 		callers.Add(1)
 		go newLeaver(f, i).run(stop, &callers)
@@ -297,7 +308,7 @@
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
 	var all sync.WaitGroup
-	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner, f.faultPeerPath} {
+	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner, f.faultPeerPath, f.missChanges} {
 		random := rand.New(rand.NewSource(f.seed*10 + int64(series)))
 		all.Go(func() {
 			for time.Now().Before(end) {
@@ -315,6 +326,7 @@
 	}
 	f.store.SetUnavailable(false)
 	f.peers.heal()
+	f.missWithdrawals(rand.New(rand.NewSource(f.seed*10 + 9)))
 }
 
 func sleepRandom(random *rand.Rand, limit time.Duration) {
@@ -420,7 +432,7 @@
 		f.event("the store drops its history")
 		f.store.DropHistory()
 	case 4:
-		f.missChanges(func() { sleepRandom(random, 700*time.Millisecond) })
+		f.missChanges(random)
 	}
 }
 
@@ -432,6 +444,9 @@
 	7: "one part of prompts crashed one runner after the other",
 
 	8103: "nodes denied added routes: late answers and messages counted from their arrival, a watch moved past a change",
+
+	62003: "a late answer with a change moved all nodes past the changes made since the store had looked",
+	62012: "a late list moved a node that had just started past a change, and its watches proved that there was none",
 }
 
 // TestSoak guards against wrong responses, bookings that run twice and
