--- a/test/soak/lapses_test.go
+++ b/test/soak/lapses_test.go
@@ -25,7 +25,7 @@
 	evacuationBound = 5 * time.Second
 )
 
-// blindShare is the share of the deaf watches that also miss changes acknowledged
+// blindShare is the share of the watches in a lapse that also miss changes acknowledged
 // before they began, from CASSIAPIN_SOAK_BLIND. A store whose watches are linearizable
 // has none.
 var blindShare = func() (share float64) {
