--- a/pkg/canary/messages.go
+++ b/pkg/canary/messages.go
@@ -216,19 +216,22 @@
 		return
 	}
 	if m.Sum {
-		ro.sum = m
+		ro.takeSum(m)
 		if m.Complete && !ro.complete {
 			ro.complete, ro.completedAt = true, now
 		}
 	} else {
-		ro.replaceReports(&m)
 		if m.All {
 			ro.reportedAll[hashing.Hash(m.Node)], ro.asking[m.Node] = true, true
 		}
 		for _, node := range m.AllFrom {
 			ro.reportedAll[node] = true
 		}
-		ro.peers[m.Node] = peerReport{message: m, at: now, cells: mergeCells(m.Cells, ro.peers[m.Node].cells)}
+		// Messages may overtake each other; a node's elapsed time never falls.
+		if last := ro.peers[m.Node]; m.ElapsedMS >= last.message.ElapsedMS {
+			ro.replaceReports(&m)
+			ro.peers[m.Node] = peerReport{message: m, at: now, cells: mergeCells(m.Cells, last.cells)}
+		}
 		ro.oldSessions = latestSessions(append(ro.oldSessions, m.OldSessions...))
 		ro.newSessions = latestSessions(append(ro.newSessions, m.NewSessions...))
 	}
@@ -245,6 +248,16 @@
 	}
 }
 
+// takeSum takes over the counts of a sum. Sums come from several aggregators, out of
+// order, and one that has just started has few reports, so those with fewer requests
+// have no effect.
+func (ro *rollout) takeSum(m Message) {
+	m.NewGood = max(m.NewGood, ro.sum.NewGood)
+	if m.Sent >= ro.sum.Sent {
+		ro.sum = m
+	}
+}
+
 // maxForwardedSessions bounds the sessions to forward at a node that peers
 // treat as an aggregator but that does not send sums.
 const maxForwardedSessions = 16 * maxMessageSessions
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -35,6 +35,9 @@
 	proofQueryTimeout = 250 * time.Millisecond
 	// proofReadTimeout bounds a read of the store for a proof.
 	proofReadTimeout = 1500 * time.Millisecond
+	// renewShare is the age of a proof, as a fraction of Options.EffectiveIn, from which
+	// a denial that rests on it requests the next one.
+	renewShare = 0.5
 	// proofPoll is the longest pause between two looks at the view by a request that
 	// awaits a proof.
 	proofPoll = 10 * time.Millisecond
@@ -58,21 +61,43 @@
 }
 
 // AwaitCurrent waits until the view of a kind is current, at most for the given time,
-// and reports whether it is. It requests a proof if there is none.
+// and reports whether it is. It requests a proof if there is none, and ahead of the time
+// at which there would be none, so that few requests wait and a store that stops answering
+// finds recent proofs.
 func (s *Service) AwaitCurrent(ctx context.Context, kind Kind, limit time.Duration) bool {
 	until := s.clock.Now().Add(limit)
 	for !s.Current(kind) {
-		select {
-		case s.proofRequests <- kind:
-		default: // Others await proofs too.
-		}
+		s.requestProof(kind)
 		if !s.clock.Now().Before(until) || s.clock.Sleep(ctx, proofPoll) != nil {
 			return false
 		}
 	}
+	if s.proofOlder(kind, renewShare) {
+		s.requestProof(kind)
+	}
 	return true
 }
 
+func (s *Service) requestProof(kind Kind) {
+	select {
+	case s.proofRequests <- kind:
+	default: // Others request proofs too.
+	}
+}
+
+// proofOlder reports whether the latest proof of a kind is older than a share of the time
+// in which a change must take effect.
+func (s *Service) proofOlder(kind Kind, share float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proofOlderLocked(kind, share)
+}
+
+// proofOlderLocked is proofOlder for callers that hold the lock.
+func (s *Service) proofOlderLocked(kind Kind, share float64) bool {
+	return s.pauses.now()-s.proofs[kind].at > time.Duration(share*float64(s.opts.EffectiveIn[kind]))
+}
+
 // reporter is the node whose notices last reported a kind's state as the newest, and
 // that time by its account. It reads the store, so it is likely to have a proof.
 type reporter struct {
@@ -110,10 +135,10 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.proofRequests:
-			if s.Current(kind) {
+			if s.Current(kind) && !s.proofOlder(kind, renewShare) {
 				continue
 			}
-			if !s.queryReporter(ctx, kind) {
+			if !s.queryReporter(ctx, kind) && !s.Current(kind) {
 				select {
 				case s.readRequests <- kind:
 				default: // Requested already.
@@ -133,7 +158,7 @@
 		case <-ctx.Done():
 			return
 		case kind := <-s.readRequests:
-			if !s.Current(kind) {
+			if s.proofOlder(kind, readShare) {
 				s.proveByRead(ctx, kind)
 			}
 		}
@@ -229,12 +254,14 @@
 	if q.Digest == 0 || q.Digest != known.digest {
 		return s.newestLocked(q)
 	}
-	provenMS := s.provenMS(q.Kind)
-	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
+	if s.proofOlderLocked(q.Kind, readShare) {
 		select {
 		case s.readRequests <- q.Kind: // One read serves all nodes that ask.
 		default:
 		}
+	}
+	provenMS := s.provenMS(q.Kind)
+	if provenMS == 0 || provenMS >= s.opts.EffectiveIn[q.Kind].Milliseconds() {
 		return Reply{}, errNotProven
 	}
 	return Reply{Notice: Notice{Kind: q.Kind, From: known.changed, To: known.from}, ProvenMS: provenMS}, nil
