--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -6,6 +6,9 @@
 // CASSIAPIN_SOAK_SEEDS gives the first seed and the number of seeds, as in
 // "100,50"; by default the seeds that failed in the past are run.
 // CASSIAPIN_SOAK_LOGS names a folder for the node logs of failed seeds.
+// CASSIAPIN_SOAK_LOAD is a number of processes that keep the machine busy meanwhile.
+// CASSIAPIN_SOAK_BLIND is the share of the store's watches, in a lapse, that miss
+// changes acknowledged before they began.
 package soak
 
 import (
@@ -13,10 +16,12 @@
 	"io/fs"
 	"maps"
 	"math/rand"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -33,6 +38,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(busyVariable) != "" {
+		for spins := 0; ; spins++ { // Until it is killed.
+		}
+	}
 	code, err := run(m)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -67,16 +76,75 @@
 	if err := build.Run(); err != nil {
 		return 1, fmt.Errorf("build the program: %w", err)
 	}
+	end, err := startLoad()
+	if err != nil {
+		return 1, err
+	}
+	defer end()
 	return m.Run(), nil
 }
 
+// busyVariable is set for the processes that keep the machine busy.
+const busyVariable = "CASSIAPIN_SOAK_BUSY"
+
+// startLoad starts the processes that keep the machine busy until end is called.
+func startLoad() (end func(), err error) {
+	var busy []*exec.Cmd
+	end = func() {
+		for _, cmd := range busy {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait() // It was killed.
+		}
+	}
+	text := os.Getenv("CASSIAPIN_SOAK_LOAD")
+	if text == "" {
+		return end, nil
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		return end, fmt.Errorf("CASSIAPIN_SOAK_LOAD=%q: %w", text, err)
+	}
+	for range count {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), busyVariable+"=1", "GOMAXPROCS=1")
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			end()
+			return end, fmt.Errorf("start a busy process: %w", err)
+		}
+		busy = append(busy, cmd)
+	}
+	return end, nil
+}
+
 // maxFleets limits the fleets that run concurrently, with nodeCount processes
 // each.
 const maxFleets = 3
 
-// fleetSlots contains the slot numbers that are free. The addresses of a fleet's
-// nodes are derived from its slot number.
-var fleetSlots = make(chan int, maxFleets)
+// fleets has an entry for each fleet that runs.
+var fleets = make(chan struct{}, maxFleets)
+
+// Slots are ranges of loopback addresses. The one who listens on a slot's lock address
+// has it, also among several processes.
+const (
+	firstSlot = 16
+	slotCount = 200
+	lockPort  = 18100
+)
+
+// claimSlot returns a slot that no other fleet on this machine has until the end of the
+// test. The addresses of a fleet's nodes are derived from its slot.
+func claimSlot(t *testing.T) (slot int) {
+	for slot := firstSlot; slot < firstSlot+slotCount; slot++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", slot, lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return slot
+		}
+	}
+	t.Fatal("no free range of addresses")
+	return 0
+}
 
 const (
 	nodeCount   = 5
@@ -104,10 +172,17 @@
 	started time.Time
 
 	// version is that of the newest configuration, and added are the routes that it and
-	// those before it have added. configMu guards both, and random.
-	configMu sync.Mutex
-	version  int
-	added    []addedRoute
+	// those before it have added. None is written before quietUntil. configMu guards
+	// these, and random.
+	configMu   sync.Mutex
+	version    int
+	added      []addedRoute
+	quietUntil time.Time
+
+	// lapseMu is held during a lapse of the store. withdrawn is what was withdrawn in
+	// the last one, nil without.
+	lapseMu   sync.Mutex
+	withdrawn *withdrawal
 
 	// crashPart is the part of prompts on which runners crash; empty is none.
 	crashPart string
@@ -134,8 +209,9 @@
 const restartAfter = 700 * time.Millisecond
 
 func newFleet(t *testing.T, seed int64) *fleet {
-	slot := <-fleetSlots
-	t.Cleanup(func() { fleetSlots <- slot })
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	slot := claimSlot(t)
 	f := &fleet{
 		t: t, seed: seed, random: rand.New(rand.NewSource(seed)), store: platformtest.NewStore(t),
 		record: platformtest.NewRecord(), started: time.Now(), faults: make(map[string][]*interval), peers: newPeerNet(t),
@@ -196,6 +272,8 @@
 		callers.Add(1)
 		go newCaller(f, callerCount+1+i).probe(stop, &callers)
 	}
+	callers.Add(1)
+	go newCaller(f, callerCount+1+proberCount).doubt(stop, &callers)
 	for i := range leaverCount {
 		callers.Add(1)
 		go newLeaver(f, i).run(stop, &callers)
@@ -230,7 +308,7 @@
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
 	var all sync.WaitGroup
-	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner, f.faultPeerPath} {
+	for series, inject := range []func(random *rand.Rand){f.faultNode, f.faultNode, f.faultStorePath, f.faultRunnerPath, f.changeStore, f.wishRunner, f.faultPeerPath, f.missChanges} {
 		random := rand.New(rand.NewSource(f.seed*10 + int64(series)))
 		all.Go(func() {
 			for time.Now().Before(end) {
@@ -248,6 +326,7 @@
 	}
 	f.store.SetUnavailable(false)
 	f.peers.heal()
+	f.missWithdrawals(rand.New(rand.NewSource(f.seed*10 + 9)))
 }
 
 func sleepRandom(random *rand.Rand, limit time.Duration) {
@@ -353,7 +432,7 @@
 		f.event("the store drops its history")
 		f.store.DropHistory()
 	case 4:
-		f.missChanges(func() { sleepRandom(random, 700*time.Millisecond) })
+		f.missChanges(random)
 	}
 }
 
@@ -365,6 +444,9 @@
 	7: "one part of prompts crashed one runner after the other",
 
 	8103: "nodes denied added routes: late answers and messages counted from their arrival, a watch moved past a change",
+
+	62003: "a late answer with a change moved all nodes past the changes made since the store had looked",
+	62012: "a late list moved a node that had just started past a change, and its watches proved that there was none",
 }
 
 // TestSoak guards against wrong responses, bookings that run twice and
@@ -382,9 +464,6 @@
 			seeds = append(seeds, first+i)
 		}
 	}
-	for slot := range maxFleets {
-		fleetSlots <- slot
-	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
