--- a/pkg/relay/lines_test.go
+++ b/pkg/relay/lines_test.go
@@ -102,7 +102,7 @@
 		"key":  func(r *Request) { r.Key = "other" },
 	}
 	for name, change := range deny {
-		for _, source := range []string{"list", "watch", "reply"} {
+		for _, source := range []string{"list", "read", "reply"} {
 			for _, outdated := range []bool{false, true} {
 				svc := newTestService(t)
 				svc.config.Version = 1496
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -145,7 +145,7 @@
 		var lines bytes.Buffer
 		svc.log = slog.New(slog.NewJSONHandler(&lines, nil))
 		svc.run("/nowhere/")
-		for _, want := range []string{`"proof":"watch"`, `"proof_ms":40`, `"rev":7`, `"ann":0`, `"rank":1`} {
+		for _, want := range []string{`"proof":"read"`, `"proof_ms":40`, `"rev":7`, `"ann":0`, `"rank":1`} {
 			if !strings.Contains(lines.String(), want) {
 				t.Errorf("outdated %t: no %s in %s", outdated, want, &lines)
 			}
