Membership: only the new records of an update are forwarded

Cause: a node floods all members that it has learned, and a node that found one of them new forwarded all of them.

Change: the filter of floods returns the part that is news here, and only that is forwarded, under the id of the flood. An id of its own would let a change circulate for ever when the way round takes longer than passedOnTTL. A node that gets a shortened copy first may lack a change of a longer one until the next digest, as with any change that a flood missed.

The tests of the filter take its new result.

--- a/pkg/membership/failures_test.go
+++ b/pkg/membership/failures_test.go
@@ -103,14 +103,50 @@
 		t.Fatal(err)
 	}
 	n.withLock(func(now time.Time) { n.merge(fullRecord(joined), now) })
-	if !n.isNews(body) {
+	if len(n.news(body)) == 0 {
 		t.Error("a change that this node has learned and not passed on is not forwarded")
 	}
-	if n.isNews(body) {
+	if len(n.news(body)) > 0 {
 		t.Error("a change is forwarded twice")
 	}
 	f.net.Run(passedOnTTL + time.Second)
-	if !n.isNews(body) {
+	if len(n.news(body)) == 0 {
 		t.Error("a change that is flooded again later is not forwarded")
 	}
 }
+
+// TestKnownChangesAreNotForwarded guards against a node that forwards all records of an
+// update because one of them is new.
+func TestKnownChangesAreNotForwarded(t *testing.T) {
+	const nodes, neighbours, recordBytes = 64, 10, 160
+	f := newFleet(t, memnet.Options{Seed: 7, Delay: 3 * time.Millisecond})
+	f.preload(nodes)
+	f.net.Run(3 * time.Second)
+	var known []record
+	for _, n := range f.nodes {
+		known = append(known, fullRecord(n.Self()))
+	}
+	for _, n := range f.nodes {
+		n.withLock(func(time.Time) { n.notePassedOn(known) })
+	}
+	sent := func() (bytes uint64) {
+		for _, n := range f.nodes[1:] {
+			bytes += n.endpoint.SentBytes(kindUpdate)
+		}
+		return bytes
+	}
+	before := sent() // Of all but the origin.
+	joined := testMember(nodes)
+	f.nodes[0].withLock(func(time.Time) { f.nodes[0].flood(append(known, fullRecord(joined))...) })
+	f.net.Run(100 * time.Millisecond)
+	for _, n := range f.nodes[1:] {
+		if member(n, joined.ID).ID == "" {
+			t.Errorf("%s has not learned of the new member", n.endpoint.Self())
+		}
+	}
+	bytes, most := sent()-before, uint64(nodes*neighbours*recordBytes)
+	t.Logf("%d KB forwarded", bytes>>10)
+	if bytes > most {
+		t.Errorf("%d KB forwarded for one new member, want at most %d", bytes>>10, most>>10)
+	}
+}
--- a/pkg/membership/passedon.go
+++ b/pkg/membership/passedon.go
@@ -24,23 +24,35 @@
 	return !later && now.Sub(c.at) <= passedOnTTL
 }
 
-// isNews reports whether a flooded update has a change that this node has not flooded
-// or forwarded. When many nodes fail, several others notice each failure and flood it;
-// only the first of these floods has to reach all nodes. What this node has learned in
-// another way, from a join for instance, it has to pass on once as well.
-func (s *Service) isNews(body []byte) bool {
+// news returns the part of a flooded update that has changes which this node has not
+// flooded or forwarded, or nil. When many nodes fail, several others notice each failure
+// and flood it; only the first of these floods has to reach all nodes. After a mass start
+// the updates of most nodes have a few such changes among many known ones. What this node
+// has learned in another way, from a join for instance, it has to pass on once as well.
+func (s *Service) news(body []byte) []byte {
 	var m updateMessage
 	if peer.Decode(body, &m) != nil {
-		return false // The handler reports the error.
+		return nil // The handler reports the error.
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.notePassedOn(m.Records)
+	fresh := s.notePassedOn(m.Records)
+	s.mu.Unlock()
+	switch len(fresh) {
+	case 0:
+		return nil
+	case len(m.Records):
+		return body
+	}
+	part, err := peer.Encode(updateMessage{Records: fresh})
+	if err != nil {
+		return body
+	}
+	return part
 }
 
-// notePassedOn records that this node floods or forwards records, and reports whether
-// one of them has a change that it had not passed on.
-func (s *Service) notePassedOn(records []record) (news bool) {
+// notePassedOn records that this node floods or forwards records, and returns those with
+// a change that it had not passed on.
+func (s *Service) notePassedOn(records []record) (fresh []record) {
 	now := s.clock.Now()
 	if len(s.passedOn) > 2*maxMembers {
 		clear(s.passedOn) // Members of long ago; the others are passed on once more.
@@ -48,8 +60,8 @@
 	for _, r := range records {
 		if last, known := s.passedOn[r.ID]; !known || !last.covers(r, now) {
 			s.passedOn[r.ID] = change{r.Incarnation, rank(r.State), now}
-			news = true
+			fresh = append(fresh, r)
 		}
 	}
-	return news
+	return fresh
 }
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -209,7 +209,7 @@
 	s.messenger.Handle(kindProbeRequest, peer.LockedHandler(s.withLock, s.onProbeRequest))
 	s.messenger.Handle(kindUpdate, peer.LockedHandler(s.withLock, s.onUpdate))
 	if f, ok := s.messenger.(peer.FloodFilterer); ok {
-		f.FilterFlood(kindUpdate, s.isNews)
+		f.FilterFlood(kindUpdate, s.news)
 	}
 	s.messenger.Handle(kindSync, peer.LockedHandler(s.withLock, s.onSync))
 	s.messenger.Handle(kindJoin, s.onJoin)
--- a/pkg/peer/lazypush_test.go
+++ b/pkg/peer/lazypush_test.go
@@ -182,7 +182,7 @@
 func TestFilterPanics(t *testing.T) {
 	f := newFlooded(4, memnet.Options{Delay: time.Millisecond, Seed: 6})
 	for _, e := range f.nodes {
-		e.FilterFlood(floodKind, func([]byte) bool { panic("unexpected") })
+		e.FilterFlood(floodKind, func([]byte) []byte { panic("unexpected") })
 	}
 	f.flood(t, 0, 0, messageBytes)
 	f.network.Run(time.Second)
--- a/pkg/peer/memnet/memnet.go
+++ b/pkg/peer/memnet/memnet.go
@@ -156,7 +156,7 @@
 
 // AddNode adds a node to the network.
 func (n *Network) AddNode(id peer.NodeID, address string) *Endpoint {
-	e := &Endpoint{net: n, id: id, address: address, senders: make(map[peer.NodeID]string)}
+	e := &Endpoint{net: n, id: id, address: address, senders: make(map[peer.NodeID]string), sent: make(map[peer.Kind]uint64)}
 	e.router = peer.NewRouter(id, nil, e.send, n.after)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -231,6 +231,7 @@
 
 	isClosed bool // Guarded by net.mu, like the counters.
 	counters Traffic
+	sent     map[peer.Kind]uint64
 }
 
 // Traffic counts what one node sent and received, in encoded bytes.
@@ -245,6 +246,14 @@
 	return e.counters
 }
 
+// SentBytes returns the encoded bytes of the messages of a kind that the node sent;
+// those of responses have no kind.
+func (e *Endpoint) SentBytes(kind peer.Kind) uint64 {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	return e.sent[kind]
+}
+
 // Close disconnects the node without notifying the others.
 func (e *Endpoint) Close() {
 	e.net.mu.Lock()
@@ -265,8 +274,8 @@
 func (e *Endpoint) Self() peer.NodeID { return e.id }
 
 // FilterFlood implements peer.FloodFilterer.
-func (e *Endpoint) FilterFlood(kind peer.Kind, isNews func(body []byte) bool) {
-	e.router.FilterFlood(kind, isNews)
+func (e *Endpoint) FilterFlood(kind peer.Kind, news func(body []byte) []byte) {
+	e.router.FilterFlood(kind, news)
 }
 
 // Handle implements peer.Messenger.
@@ -295,7 +304,7 @@
 	}
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
-	e.countSent(len(raw))
+	e.countSent(kind, len(raw))
 	e.net.transmit(e, to, address, func(target *Endpoint) {
 		target.countReceived(e, len(raw))
 		_, _ = target.router.Receive(context.Background(), e.id, raw)
@@ -303,7 +312,8 @@
 	return nil
 }
 
-func (e *Endpoint) countSent(bytes int) {
+func (e *Endpoint) countSent(kind peer.Kind, bytes int) {
+	e.sent[kind] += uint64(bytes)
 	e.counters.SentMessages++
 	e.counters.SentBytes += uint64(bytes)
 }
@@ -345,7 +355,7 @@
 	e.net.schedule(timeout, func() {
 		finish(nil, peer.WrapTransportError(context.DeadlineExceeded, result.Unknown, to, kind))
 	})
-	e.countSent(len(raw))
+	e.countSent(kind, len(raw))
 	e.net.transmit(e, to, address, func(target *Endpoint) {
 		target.countReceived(e, len(raw))
 		answer := target.router.Serve(context.Background(), e.id, raw)
@@ -357,7 +367,7 @@
 func (e *Endpoint) respond(to *Endpoint, raw []byte, deliver func()) {
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
-	e.countSent(len(raw))
+	e.countSent("", len(raw))
 	e.net.transmit(e, to.id, to.address, func(*Endpoint) {
 		to.countReceived(e, len(raw))
 		deliver()
--- a/pkg/peer/router.go
+++ b/pkg/peer/router.go
@@ -32,10 +32,11 @@
 
 // FloodFilterer is implemented by transports that can leave out floods.
 type FloodFilterer interface {
-	// FilterFlood registers a function that reports whether a flooded message has
-	// anything that this node has not passed on before; if not, it is handled but not
-	// forwarded. Several nodes may flood the same news at once.
-	FilterFlood(kind Kind, isNews func(body []byte) bool)
+	// FilterFlood registers a function that returns the part of a flooded message that
+	// this node has not passed on before, or nil if there is none. The whole message is
+	// handled, and only that part is forwarded. Several nodes may flood the same news
+	// at once.
+	FilterFlood(kind Kind, news func(body []byte) []byte)
 }
 
 // Caller is implemented by transports with asynchronous requests.
@@ -155,7 +156,7 @@
 
 	mu       sync.RWMutex
 	handlers map[Kind]Handler
-	isNews   map[Kind]func(body []byte) bool
+	news     map[Kind]func(body []byte) []byte
 	counters map[Kind]*kindMetrics
 	book     AddressBook
 	filter   duplicateFilter
@@ -171,7 +172,7 @@
 	r := &Router{
 		self: self, send: send, set: set,
 		handlers: make(map[Kind]Handler),
-		isNews:   make(map[Kind]func(body []byte) bool),
+		news:     make(map[Kind]func(body []byte) []byte),
 		counters: make(map[Kind]*kindMetrics),
 		lazy:     newLazyPush(send, after),
 	}
@@ -241,10 +242,10 @@
 }
 
 // FilterFlood implements FloodFilterer.
-func (r *Router) FilterFlood(kind Kind, isNews func(body []byte) bool) {
+func (r *Router) FilterFlood(kind Kind, news func(body []byte) []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.isNews[kind] = isNews
+	r.news[kind] = news
 }
 
 // EncodeMessage returns the encoded envelope of a message.
@@ -316,7 +317,7 @@
 	}
 	flooded := e.Origin != ""
 	fresh := !flooded || (e.Origin != r.self && r.filter.add(floodID{e.Origin, e.Seq}))
-	isNews := r.isNews[e.Kind]
+	news := r.news[e.Kind]
 	r.mu.Unlock()
 	r.CountReceived(e.Kind, size)
 	if !fresh {
@@ -325,25 +326,29 @@
 	}
 	if flooded {
 		r.lazy.arrived(floodID{e.Origin, e.Seq})
-	}
-	if flooded && (isNews == nil || checkNews(isNews, e)) {
-		if err := r.forward(e, from); err != nil {
-			return nil, err
+		part := e
+		if news != nil {
+			part.Body = newsOf(news, e)
+		}
+		if news == nil || len(part.Body) > 0 {
+			if err := r.forward(part, from); err != nil {
+				return nil, err
+			}
 		}
 	}
 	return r.handle(ctx, h, from, e)
 }
 
-// checkNews runs a filter of floods. A message on which it panics is forwarded.
-func checkNews(isNews func(body []byte) bool, e Envelope) (news bool) {
+// newsOf runs a filter of floods. A message on which it panics is forwarded whole.
+func newsOf(news func(body []byte) []byte, e Envelope) (part []byte) {
 	defer func() {
 		if p := recover(); p != nil {
 			handlerPanics.Inc()
 			slog.Error("filter of floods panicked", "kind", string(e.Kind), "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
-			news = true
+			part = e.Body
 		}
 	}()
-	return isNews(e.Body)
+	return news(e.Body)
 }
 
 // handle runs a handler. A panic ends only the message that caused it.
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -278,8 +278,8 @@
 func (t *Transport) Handle(kind Kind, h Handler) { t.router.Handle(kind, h) }
 
 // FilterFlood implements FloodFilterer.
-func (t *Transport) FilterFlood(kind Kind, isNews func(body []byte) bool) {
-	t.router.FilterFlood(kind, isNews)
+func (t *Transport) FilterFlood(kind Kind, news func(body []byte) []byte) {
+	t.router.FilterFlood(kind, news)
 }
 
 // SetAddressBook implements AddressBookSetter.
