Membership: joins and changes of readiness are offered, not flooded

Cause: a flood brings a record of some 300 bytes to each node over each of its eight neighbours. When 295 nodes start at once, each of them joins and becomes ready, and most of the 210 MB of member.update are these copies.

Change: these changes are named to the neighbours by hash (9 bytes), together once a tick; a node requests what it lacks, from another node that offered it if no answer comes, and offers it in turn. Suspicions, refutations, leaves and deaths are flooded as before. A node announces in its record that it takes offers; while a live member is known that doesn't, all is flooded.

--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -93,7 +93,7 @@
 // nodes are in the larger region.
 func testMember(i int) peer.Member {
 	m := peer.Member{
-		ID: peer.NodeID(fmt.Sprintf("node-%03d-%d", i, i)), State: peer.Alive, Incarnation: 1,
+		ID: peer.NodeID(fmt.Sprintf("node-%03d-%d", i, i)), State: peer.Alive, Incarnation: 1, Offers: true,
 		PeerAddress: address(i), EntryAddress: "http://" + address(i), AdminAddress: "http://" + address(i),
 		Region: "west", FailureDomain: fmt.Sprint("west-", i%2),
 	}
@@ -426,7 +426,8 @@
 	for i, seed := range []any{
 		probe{Seq: 1, Extra: map[string][]byte{"c": {1}}}, ack{Seq: 1}, probeRequest{Seq: 2, Target: "x"},
 		updateMessage{Records: []record{full, compactRecord(full.member())}},
-		syncMessage{Digest: make([]uint64, buckets)}, syncMessage{Want: 3, Records: []record{full}}, full,
+		syncMessage{Digest: make([]uint64, buckets)}, syncMessage{Want: 3, Records: []record{full}},
+		offerMessage{Changes: []uint64{1, digestOf(full.member())}}, offerMessage{Changes: []uint64{2}}, updateMessage{Records: []record{full}}, full,
 	} {
 		raw, err := peer.Encode(seed)
 		if err != nil {
@@ -438,7 +439,7 @@
 		fl := newFleet(t, memnet.Options{Seed: 1})
 		n := fl.add(0)
 		sender := fl.net.AddNode("sender", address(9))
-		kinds := []peer.Kind{kindProbe, kindAck, kindProbeRequest, kindUpdate, kindSync, kindJoin}
+		kinds := []peer.Kind{kindProbe, kindAck, kindProbeRequest, kindUpdate, kindSync, kindJoin, kindOffer, kindWant, kindChanges}
 		e, err := peer.Encode(peer.Envelope{Kind: kinds[int(which)%len(kinds)], Body: raw})
 		if err != nil {
 			return
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -16,6 +16,9 @@
 	kindUpdate       peer.Kind = "member.update"
 	kindSync         peer.Kind = "member.sync"
 	kindJoin         peer.Kind = "member.join"
+	kindOffer        peer.Kind = "member.offer"
+	kindWant         peer.Kind = "member.want"
+	kindChanges      peer.Kind = "member.changes"
 )
 
 // probe requests an ack with the same sequence number. Extra carries the
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -134,6 +134,7 @@
 	probes  prober
 	reach   reachability
 	sync    syncer
+	offers  offers
 	// passedOn has the latest change of each member that this node has flooded or
 	// forwarded.
 	passedOn map[peer.NodeID]change
@@ -165,6 +166,7 @@
 		rng:        rand.New(rand.NewSource(o.Seed)),
 		table:      newTable(),
 		probes:     newProber(),
+		offers:     newOffers(),
 		piggybacks: make(map[string]Piggyback),
 		passedOn:   make(map[peer.NodeID]change),
 	}
@@ -189,7 +191,7 @@
 		return result.New(result.SettingsError, "a node needs a region and a peer address")
 	}
 	s.self = s.opts.Self
-	s.self.ID, s.self.State, s.self.Incarnation = s.messenger.Self(), peer.Alive, 1
+	s.self.ID, s.self.State, s.self.Incarnation, s.self.Offers = s.messenger.Self(), peer.Alive, 1, true
 	s.mu.Lock()
 	s.table.put(s.self, s.clock.Now())
 	for _, m := range s.opts.InitialMembers {
@@ -213,6 +215,9 @@
 	}
 	s.messenger.Handle(kindSync, peer.LockedHandler(s.withLock, s.onSync))
 	s.messenger.Handle(kindJoin, s.onJoin)
+	s.messenger.Handle(kindOffer, peer.LockedHandler(s.withLock, s.onOffer))
+	s.messenger.Handle(kindWant, peer.LockedHandler(s.withLock, s.onWant))
+	s.messenger.Handle(kindChanges, peer.LockedHandler(s.withLock, s.onChanges))
 }
 
 func (s *Service) registerMetrics() {
@@ -329,6 +334,7 @@
 		s.expire(now)
 		s.tickProbes(now)
 		s.tickSync(now)
+		s.tickOffers(now)
 		s.tickReach(now)
 	})
 }
@@ -376,7 +382,8 @@
 	s.withLock(func(now time.Time) {
 		if s.self.Ready != ready {
 			s.self.Ready = ready
-			s.announce(now)
+			s.nextIncarnation(now)
+			s.passOn([]record{fullRecord(s.self)})
 		}
 	})
 }
@@ -394,10 +401,14 @@
 
 // announce increments this node's incarnation and floods its record.
 func (s *Service) announce(now time.Time) {
+	s.nextIncarnation(now)
+	s.flood(fullRecord(s.self))
+}
+
+func (s *Service) nextIncarnation(now time.Time) {
 	s.self.Incarnation++
 	s.table.put(s.self, now)
 	s.changed = true
-	s.flood(fullRecord(s.self))
 }
 
 // Subscribe implements peer.Members.
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -187,7 +187,7 @@
 	var a joinResponse
 	s.withLock(func(now time.Time) {
 		if s.merge(r, now) {
-			s.flood(r)
+			s.passOn([]record{r})
 		}
 		a = joinResponse{Records: s.table.records(^uint32(0), s.reach.isolated), ID: s.self.ID}
 	})
@@ -225,14 +225,19 @@
 // drops queued changes that they supersede.
 func (s *Service) onUpdate(now time.Time, _ peer.NodeID, m updateMessage) {
 	for _, r := range m.Records {
-		if q, ok := s.sync.queued[r.ID]; ok && (r.Incarnation > q.Incarnation ||
-			r.Incarnation == q.Incarnation && rank(r.State) >= rank(q.State)) {
-			delete(s.sync.queued, r.ID)
-		}
+		s.dropQueued(r)
 		s.merge(r, now)
 	}
 }
 
+// dropQueued drops a queued change that r supersedes.
+func (s *Service) dropQueued(r record) {
+	if q, ok := s.sync.queued[r.ID]; ok && (r.Incarnation > q.Incarnation ||
+		r.Incarnation == q.Incarnation && rank(r.State) >= rank(q.State)) {
+		delete(s.sync.queued, r.ID)
+	}
+}
+
 // mergeRepaired merges records of a digest exchange and queues the new ones to
 // be flooded.
 func (s *Service) mergeRepaired(now time.Time, from peer.NodeID, records []record) {
@@ -280,5 +285,5 @@
 		out = append(out, s.sync.queued[e.member.ID])
 	}
 	clear(s.sync.queued)
-	s.flood(out...)
+	s.passOn(out)
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -27,6 +27,7 @@
 	FailureDomain string      `cbor:"8,keyasint,omitempty"`
 	Ready         bool        `cbor:"9,keyasint,omitempty"`
 	Fingerprint   string      `cbor:"10,keyasint,omitempty"`
+	Offers        bool        `cbor:"11,keyasint,omitempty"`
 }
 
 func fullRecord(m peer.Member) record {
@@ -34,6 +35,7 @@
 		ID: m.ID, State: m.State, Incarnation: m.Incarnation,
 		PeerAddress: m.PeerAddress, EntryAddress: m.EntryAddress, AdminAddress: m.AdminAddress,
 		Region: m.Region, FailureDomain: m.FailureDomain, Ready: m.Ready, Fingerprint: m.Fingerprint,
+		Offers: m.Offers,
 	}
 }
 
@@ -73,6 +75,7 @@
 		ID: r.ID, State: r.State, Incarnation: r.Incarnation,
 		PeerAddress: r.PeerAddress, EntryAddress: r.EntryAddress, AdminAddress: r.AdminAddress,
 		Region: r.Region, FailureDomain: r.FailureDomain, Ready: r.Ready, Fingerprint: r.Fingerprint,
+		Offers: r.Offers,
 	}
 }
 
@@ -134,8 +137,10 @@
 	// tick does not visit every member.
 	flagged map[peer.NodeID]*entry
 	// hosts holds the members by peer address.
-	hosts  map[string]*host
-	digest [buckets]uint64
+	hosts map[string]*host
+	// changes holds the members by their contribution to the digest.
+	changes map[uint64]*entry
+	digest  [buckets]uint64
 }
 
 // host holds the members that use or used one peer address: a restarted node is
@@ -147,7 +152,7 @@
 }
 
 func newTable() table {
-	return table{entries: make(map[peer.NodeID]*entry), flagged: make(map[peer.NodeID]*entry), hosts: make(map[string]*host)}
+	return table{entries: make(map[peer.NodeID]*entry), flagged: make(map[peer.NodeID]*entry), hosts: make(map[string]*host), changes: make(map[uint64]*entry)}
 }
 
 func hashID(id peer.NodeID) uint64 {
@@ -201,6 +206,10 @@
 	}
 	d := digestOf(m)
 	t.digest[bucketOf(m.ID)] ^= e.digest ^ d
+	delete(t.changes, e.digest)
+	if d != 0 {
+		t.changes[d] = e
+	}
 	e.member, e.digest = m, d
 	t.classify(e)
 	t.chooseCurrent(e)
@@ -253,23 +262,29 @@
 func (t *table) remove(id peer.NodeID) {
 	if e := t.entries[id]; e != nil {
 		t.digest[bucketOf(id)] ^= e.digest
+		delete(t.changes, e.digest)
 		delete(t.entries, id)
 		delete(t.flagged, id)
 		t.leaveHost(e)
 	}
 }
 
-// records returns the members of the buckets in mask, in id order. An isolated
-// node omits its suspicions, which are likely caused by its own fault.
+// record returns the full record of a member. An isolated node omits its suspicions,
+// which are likely caused by its own fault.
+func (e *entry) record(isolated bool) record {
+	r := fullRecord(e.member)
+	if isolated && r.State == peer.Suspect {
+		r.State = e.liveState()
+	}
+	return r
+}
+
+// records returns the members of the buckets in mask, in id order.
 func (t *table) records(mask uint32, isolated bool) []record {
 	var out []record
 	for id, e := range t.entries {
 		if mask&(1<<bucketOf(id)) != 0 {
-			r := fullRecord(e.member)
-			if isolated && r.State == peer.Suspect {
-				r.State = e.liveState()
-			}
-			out = append(out, r)
+			out = append(out, e.record(isolated))
 		}
 	}
 	slices.SortFunc(out, func(a, b record) int { return cmp.Compare(a.ID, b.ID) })
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -61,6 +61,9 @@
 	// Fingerprint is that of the node's certificate if it was generated at its
 	// start; other nodes accept it because a node that they trust reports it.
 	Fingerprint string `json:"fingerprint,omitempty" cbor:"10,keyasint,omitempty"`
+	// Offers reports whether the node takes offers of changes; earlier releases only
+	// take floods.
+	Offers bool `json:"-" cbor:"11,keyasint,omitempty"`
 }
 
 // Members is a node's view of the membership.
