--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cassiapin/pkg/clock"
@@ -273,7 +274,7 @@
 // that a notice does not include, or because no notice arrived in time.
 func (f *follower) consumeNotices(ctx context.Context) {
 	s := f.service
-	for f.listed && s.rank() > 0 {
+	for f.listed && s.rank() > 0 && !f.relistDue && !s.listRequested[f.kind].Load() {
 		paused := s.pauses.nextEnd()
 		if s.unconfirmed(f.kind) {
 			f.latency = 0 // Notices that arrived during a pause are as old as the view.
@@ -340,14 +341,21 @@
 // applyNotice applies a notice. It returns false when the store must be called.
 func (f *follower) applyNotice(n Notice) bool {
 	s := f.service
-	s.revealed.Note(n.To)
 	n.unpack()
 	switch {
 	case n.digest != 0 && n.digest == f.digest():
 		// This node has the same objects, also if it has not read up to n.From.
 		n.To = max(n.To, f.from)
 	case n.To < f.from:
-		return true // From a reader that lags; it has nothing new.
+		// From a reader that lags, or another notice has overtaken it. A reader that has
+		// read the store later and stays with other objects knows what this node doesn't.
+		if n.digest == 0 {
+			f.applyLater(n)
+			return true
+		}
+		again := n.digest == f.lagging && s.clock.Now().Add(-time.Duration(n.ageMS)*time.Millisecond).After(f.reported)
+		f.lagging = n.digest
+		return !again || !f.relist(n.digest)
 	case n.digest != 0 && n.From <= f.from:
 		// Nothing has changed since this node's revision, yet the objects differ.
 		return !f.relist(n.digest)
@@ -364,6 +372,7 @@
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from {
+		f.applyLater(n)
 		if f.failedSince.IsZero() {
 			return true
 		}
@@ -386,3 +395,24 @@
 	})
 	return true
 }
+
+// applyLater applies what is later than the revision of a notice that this node has reached:
+// objects that a list has found after the revision that it could show, and deletions, which
+// may have the revisions of the changes before them.
+func (f *follower) applyLater(n Notice) {
+	later := slices.DeleteFunc(slices.Clone(n.Changes), func(c NoticeChange) bool {
+		return !c.Deleted && (c.Revision <= f.from || len(c.Patch) > 0)
+	})
+	if len(later) == 0 {
+		return
+	}
+	s := f.service
+	s.update(func(now time.Time) bool {
+		changed := false
+		for _, c := range s.digests[f.kind].news((&Notice{Changes: later}).changes()) {
+			changed = s.apply(f.kind, c, now, time.Time{}) || changed
+		}
+		return changed
+	})
+	f.recordLatestProgress()
+}
