Store view: notices go out in the order of the states that they are of

Traced: the periodic notice of known revisions can go out between the record of a new state and the notice with its changes. A deletion found in a quiet store has no later revision, so a receiver took the sender for one with other objects and listed.

--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -167,6 +167,10 @@
 		// state, or others would get it for the state before.
 		s.prove(f.kind, began, sourceList)
 	}
+	// A notice of the new state must not go out before its changes, nor one of the old
+	// state after them: receivers would take the sender for one with other objects.
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	s.mu.Lock()
 	s.storeProgress[f.kind] = progress{f.from, f.changed, f.reported, s.digests[f.kind].value()}
 	s.mu.Unlock()
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -175,12 +175,15 @@
 	}
 	for s.clock.Sleep(ctx, time.Duration(publishShare*float64(period))) == nil {
 		if s.rank() == 0 {
+			s.publishing.Lock()
 			s.publishKnown()
+			s.publishing.Unlock()
 		}
 	}
 }
 
-// publishKnown sends the revisions that this node knows from its own calls.
+// publishKnown sends the revisions that this node knows from its own calls. The caller
+// holds the publishing lock.
 func (s *Service) publishKnown() {
 	var n Notice
 	for kind := Configurations; kind <= Evacuations; kind++ {
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -127,6 +127,8 @@
 	// guards all three.
 	storeProgress, latestProgress [Nodes]progress
 	config                        Object
+	// publishing keeps notices in the order of the states that they are of.
+	publishing sync.Mutex
 	// upstreams are the upstreams' objects, for nodes that start. mu guards them.
 	upstreams map[string]Object
 	// digests identify the current state of each kind; nil before the first
