--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -32,6 +32,9 @@
 	// proofQueryTimeout bounds the query of a proof. It leaves a denied request time
 	// for a call of the store.
 	proofQueryTimeout = 250 * time.Millisecond
+	// proofAnswerTime is how long the queried node may read the store for its answer; the
+	// rest of proofQueryTimeout is for the way.
+	proofAnswerTime = 200 * time.Millisecond
 	// proofReadTimeout bounds a read of the store for a proof.
 	proofReadTimeout = 1500 * time.Millisecond
 	// renewShare is the age of a proof, as a fraction of Options.EffectiveIn, from which
@@ -226,7 +229,7 @@
 	reporter := s.reporters[kind]
 	q := Query{
 		Kind: kind, After: s.latestProgress[kind].from, Packed: true, Prove: true, Digest: s.digests[kind].value(),
-		WaitMS: proofQueryTimeout.Milliseconds() * 4 / 5,
+		WaitMS: proofAnswerTime.Milliseconds(),
 	}
 	s.mu.Unlock()
 	asked := s.pauses.now()
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -399,9 +399,9 @@
 	return true
 }
 
-// applyLater applies what is later than the revision of a notice that this node has reached:
-// objects that a list has found after the revision that it could show, and deletions, which
-// may have the revisions of the changes before them.
+// applyLater applies the part of a notice that holds whatever revisions it names: objects
+// from after the revision up to which this node knows the kind, and deletions of objects
+// that were not created again. It doesn't move the node's revision.
 func (f *follower) applyLater(n Notice) {
 	later := slices.DeleteFunc(slices.Clone(n.Changes), func(c NoticeChange) bool {
 		return !c.Deleted && (c.Revision <= f.from || len(c.Patch) > 0)
