Store view: a large configuration's transfer is not aborted

Cause: bounded the whole list by the timeout of a watch if the known configuration is small. The new one is large, so over a link between regions its transfer was aborted and begun again. Reads for proofs had the same bound. Both have the bounds of all lists again: the start of the answer, and the pauses within it. A node that knows of a later state doesn't read for a proof, since its follower fetches that state.

TestLargeTransferIsNotAborted failed before in both cases (never applied).

Open again: the lost answer of a small list is noticed after 2 s.

--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -35,8 +35,8 @@
 	// proofAnswerTime is how long the queried node may read the store for its answer; the
 	// rest of proofQueryTimeout is for the way.
 	proofAnswerTime = 200 * time.Millisecond
-	// proofReadTimeout bounds a read of the store for a proof.
-	proofReadTimeout = 1500 * time.Millisecond
+	// proofWatchTimeout bounds the watch that proves a large configuration.
+	proofWatchTimeout = 1500 * time.Millisecond
 	// renewShare is the age of a proof, as a fraction of Options.EffectiveIn, from which
 	// a denial that rests on it requests the next one.
 	renewShare = 0.5
@@ -174,11 +174,12 @@
 // missed. If the store has other objects, the follower is told to list them. While the
 // store doesn't answer, the followers' backoff holds.
 func (s *Service) proveByRead(ctx context.Context, kind Kind) {
+	if s.behindAnnounced(kind) {
+		return // The follower fetches a later state, which a read would only send twice.
+	}
 	if wait, _ := s.backoff.claim(s.clock.Now()); wait > 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofReadTimeout)
-	defer cancel()
 	began := s.pauses.now()
 	same, err := s.sameObjects(ctx, kind)
 	if err != nil {
@@ -196,6 +197,13 @@
 	}
 }
 
+// behindAnnounced reports whether another node has announced a later state of a kind.
+func (s *Service) behindAnnounced(kind Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return topology.Revision(s.announced[kind].Load()) > s.latestProgress[kind].from
+}
+
 // sameObjects reports whether the store has the objects of a kind that this node has.
 func (s *Service) sameObjects(ctx context.Context, kind Kind) (bool, error) {
 	s.mu.Lock()
@@ -204,7 +212,7 @@
 	if kind == Configurations && !s.smallConfig() {
 		// A large one is not sent again. It is one object, so a look at the changes after
 		// from, up to which all are known, tells whether it is the newest.
-		changes, revision, err := s.opts.Store.Watch(ctx, kind, from, time.Millisecond, proofReadTimeout)
+		changes, revision, err := s.opts.Store.Watch(ctx, kind, from, time.Millisecond, proofWatchTimeout)
 		if errors.Is(err, ErrHistoryLost) {
 			return false, nil
 		}
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -133,7 +133,7 @@
 	switch {
 	case lists:
 		var a listAnswer
-		if a, err = f.list(ctx, f.changedBetween(start)); err == nil {
+		if a, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.noteList(a, revealed, start)
 			changes = a.news
 		}
@@ -207,17 +207,6 @@
 	return s.objectCount(f.kind) <= maxRereadObjects && (f.kind != Configurations || s.smallConfig())
 }
 
-// list lists the kind. A small one that has been listed before has to answer as soon as
-// a watch without a wait, so that a lost answer doesn't delay the next call.
-func (f *follower) list(ctx context.Context, appeared time.Time) (listAnswer, error) {
-	if f.listed && f.small() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, f.callTimeout)
-		defer cancel()
-	}
-	return f.service.list(ctx, f.kind, appeared)
-}
-
 // noteList records a list that began at a time, when the store had revealed a revision.
 func (f *follower) noteList(a listAnswer, revealed topology.Revision, start time.Time) {
 	s := f.service
