Quarantine: a decision without the answers is refuted by who knows them

Change: a decision carries its number of crashes and the time of the fifth-last. A node that knows of an answer by which it doesn't hold releases the part and tells all of the answer. Crashes that a part in quarantine explains are no reason to quarantine another. Only a node that knows of three crashes of a part finds them explained by others.

Before: TestDecisionWithoutTheAnswers "held at 3 nodes after 8.0 s, want 0", TestDecisionOfTheOneWhoKnowsMore 'held by "topic" and ""'.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -99,8 +99,9 @@
 	// answered has the answers that this node knows of; shared has those of them
 	// that all nodes were told of.
 	answered, shared recentParts
-	// unreported are suspected parts whose answers the other nodes may not know.
-	unreported map[string]struct{}
+	// unreported are suspected parts whose answers the other nodes may not know. The
+	// value is set if they have to know in any case.
+	unreported map[string]bool
 }
 
 // noteAnswer records that the other nodes need to know of the latest answer to a
@@ -110,7 +111,7 @@
 		return
 	}
 	if at := e.answered.get(part); !at.IsZero() && e.isNews(part, at) {
-		e.unreported[part] = struct{}{}
+		e.unreported[part] = e.unreported[part]
 	}
 }
 
@@ -180,12 +181,17 @@
 	crashes, requests int
 	answered          bool
 	depth             int
-	// lastEvent is the number of the crash counted last, seen the hashes of the
-	// requests counted.
+	// lastEvent is the number of the crash counted last, latest the times of the last
+	// crashes counted, and seen the hashes of the requests counted.
 	lastEvent int
+	latest    []time.Time
 	seen      []uint64
 }
 
+// support is the time of the first of the crashes without which the part would not be
+// quarantined, if it had been answered before.
+func (x *explanation) support() time.Time { return x.latest[0] }
+
 // sufficient reports whether the part is to be quarantined.
 func (x *explanation) sufficient() bool {
 	least := minCrashes
@@ -207,13 +213,17 @@
 	return cmp.Or(cmp.Compare(x.depth, y.depth), cmp.Compare(y.part, x.part)) > 0
 }
 
-// explain returns the fewest parts that explain the crashes, found greedily: the
-// best explanation first, then that of the crashes which it leaves unexplained. A
-// request takes innocent parts along to each upstream that it crashes, and other
-// requests are at these upstreams by chance; both are explained away.
-func (e *evidence) explain() []explanation {
+// explain returns the fewest parts that explain the crashes which the known parts
+// leave unexplained, found greedily: the best explanation first, then that of the
+// crashes which it leaves unexplained. A request takes innocent parts along to each
+// upstream that it crashes, and other requests are at these upstreams by chance; both
+// are explained away.
+func (e *evidence) explain(known []string) []explanation {
 	events := e.events()
 	open := slices.Clone(e.crashes)
+	for _, part := range known {
+		open = slices.DeleteFunc(open, func(c *crash) bool { return c.suspects[part] != nil })
+	}
 	var found []explanation
 	for {
 		best := e.best(open, events)
@@ -254,7 +264,7 @@
 				x = &explanation{part: part, answered: !answered.IsZero(), depth: s.depth}
 				parts[part] = x
 			}
-			x.add(events[c], s)
+			x.add(events[c], c.at, s)
 		}
 	}
 	var best *explanation
@@ -266,11 +276,15 @@
 	return best
 }
 
-// add counts a suspicion of the crash with the number event.
-func (x *explanation) add(event int, s *suspect) {
+// add counts a suspicion of the crash with the number event. Crashes are added in the
+// order of their times.
+func (x *explanation) add(event int, at time.Time, s *suspect) {
 	if event != x.lastEvent {
 		x.crashes++
 		x.lastEvent = event
+		if x.latest = append(x.latest, at); len(x.latest) > minCrashesAnswered {
+			x.latest = x.latest[1:]
+		}
 	}
 	for _, r := range s.requests {
 		if len(x.seen) < minRequests && !slices.Contains(x.seen, r) {
--- a/pkg/quarantine/messages.go
+++ b/pkg/quarantine/messages.go
@@ -71,6 +71,10 @@
 	TriedAge     uint64 `cbor:"3,keyasint,omitempty"`
 	ConfirmedAge uint64 `cbor:"4,keyasint,omitempty"`
 	ReleasedAge  uint64 `cbor:"5,keyasint,omitempty"`
+	// Crashes is the number of crashes that the part explained, SupportAge the age from
+	// which on they make up a quarantine even if the part was answered before.
+	Crashes    int    `cbor:"6,keyasint,omitempty"`
+	SupportAge uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ageOf returns the age of a time, at least 1, since zero means never.
@@ -129,8 +133,9 @@
 		if len(answers) >= maxMessageItems {
 			break
 		}
+		required := t.unreported[part]
 		delete(t.unreported, part)
-		if at := t.answered.get(part); t.isNews(part, at) {
+		if at := t.answered.get(part); required || t.isNews(part, at) {
 			t.shared.set(part, at)
 			answers = append(answers, PartAge{Part: part, Age: ageOf(at, now)})
 		}
@@ -142,6 +147,7 @@
 	return Entry{
 		Part: part, SinceAge: ageOf(e.since, now), TriedAge: ageOf(e.tried, now),
 		ConfirmedAge: ageOf(e.confirmed, now), ReleasedAge: ageOf(e.released, now),
+		Crashes: e.crashes, SupportAge: ageOf(e.support, now),
 	}
 }
 
@@ -185,6 +191,9 @@
 		at := timeOf(a.Age, now)
 		if from == flooded {
 			t.shared.set(a.Part, at)
+			if t.unreported[a.Part] {
+				t.unreported[a.Part] = false
+			}
 		}
 		if t.answer(a.Part, at) {
 			changed = append(changed, a.Part)
@@ -196,12 +205,15 @@
 			continue
 		}
 		e := &entry{since: timeOf(r.SinceAge, now), tried: timeOf(r.TriedAge, now),
-			confirmed: timeOf(r.ConfirmedAge, now), released: timeOf(r.ReleasedAge, now)}
+			confirmed: timeOf(r.ConfirmedAge, now), released: timeOf(r.ReleasedAge, now),
+			crashes: max(r.Crashes, 0), support: timeOf(r.SupportAge, now)}
 		merged := t.merge(r.Part, e)
 		if merged {
 			changed = append(changed, r.Part)
 		}
-		if known := t.entries[r.Part]; known != nil && known.active() == e.active() {
+		known := t.entries[r.Part]
+		news = news || merged && known.active() != e.active()
+		if known != nil && known.active() == e.active() {
 			switch {
 			case from == flooded:
 				known.announced = true
--- a/pkg/quarantine/messages_test.go
+++ b/pkg/quarantine/messages_test.go
@@ -82,6 +82,58 @@
 	}
 }
 
+// TestDecisionWithoutTheAnswers guards against a node that has missed the answers to a
+// part, as it was started since, and whose decision all others take over: sound
+// requests were held back for 10 s.
+func TestDecisionWithoutTheAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		crashes  int
+		answered float64
+		held     int
+	}{
+		{"answered before", 3, 0.5, 0},
+		{"answered between the crashes", 6, 3.5, 0},
+		{"answered before five crashes", 5, 0.5, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			all := newNodes(3)
+			all[0].crashed("earlier", at(0.2), 99, []string{"topic"})
+			all[0].answer("topic", at(tc.answered))
+			all[:2].exchange(t, at(0.6)) // The third isn't there yet.
+			for i := range tc.crashes {
+				all[2].crashed(fmt.Sprint("u", i), at(float64(i+1)), uint64(i), []string{"topic"})
+			}
+			for _, now := range []float64{8, 10} {
+				for _, tab := range all {
+					tab.decide(at(now))
+				}
+				all.exchange(t, at(now+0.1))
+				if held := all.held("topic", at(now+0.2)); held != tc.held {
+					t.Errorf("held at %d nodes after %.1f s, want %d", held, now, tc.held)
+				}
+			}
+		})
+	}
+}
+
+// TestDecisionOfTheOneWhoKnowsMore guards against a node that has seen some of the
+// crashes which led to a quarantine elsewhere, and blames a part that was there by
+// chance instead.
+func TestDecisionOfTheOneWhoKnowsMore(t *testing.T) {
+	tab := newTable()
+	tab.receive(Message{Entries: []Entry{{Part: "bad", SinceAge: 1, Crashes: 3, SupportAge: 2000}}}, flooded, at(3))
+	tab.crashed("u0", at(1), 1, []string{"bad", "topic"})
+	tab.crashed("u1", at(2), 2, []string{"topic"})
+	tab.crashed("u2", at(2.9), 3, []string{"topic"})
+	tab.decide(at(3.1))
+	topic, _, _ := tab.blocked([]string{"topic"}, at(3.2), first)
+	bad, _, _ := tab.blocked([]string{"bad"}, at(3.2), first)
+	if topic != "" || bad != "bad" {
+		t.Errorf("held by %q and %q", topic, bad)
+	}
+}
+
 // TestAnswersAreReportedOnce guards against every node of a large fleet reporting
 // the answers to a part that many requests share.
 func TestAnswersAreReportedOnce(t *testing.T) {
--- a/pkg/quarantine/stored.go
+++ b/pkg/quarantine/stored.go
@@ -17,6 +17,9 @@
 	SinceMS     int64  `json:"since_ms"`
 	TriedMS     int64  `json:"tried_ms,omitempty"`
 	ConfirmedMS int64  `json:"confirmed_ms,omitempty"`
+	// Crashes and SupportMS are as in Entry.
+	Crashes   int   `json:"crashes,omitempty"`
+	SupportMS int64 `json:"support_ms,omitempty"`
 }
 
 // Store keeps the parts in quarantine. Errors mean that the call may have failed.
@@ -73,7 +76,8 @@
 	now := s.clock.Now()
 	var taken []string
 	for _, p := range parts {
-		e := &entry{since: timeSince(p.SinceMS, now), tried: timeSince(p.TriedMS, now), confirmed: timeSince(p.ConfirmedMS, now)}
+		e := &entry{since: timeSince(p.SinceMS, now), tried: timeSince(p.TriedMS, now), confirmed: timeSince(p.ConfirmedMS, now),
+			crashes: max(p.Crashes, 0), support: timeSince(p.SupportMS, now)}
 		if p.SinceMS <= 0 || len(p.Part) > maxPartBytes || now.Sub(e.since) > maxStoredAge {
 			continue
 		}
@@ -86,6 +90,9 @@
 	}
 	s.updateCounts()
 	s.mu.Unlock()
+	if len(taken) > 0 {
+		s.wakeUp() // This node may know that one is void.
+	}
 	for _, part := range taken {
 		s.log.Info(eventlog.PartStateRead, "part", part, "source", "store")
 	}
@@ -109,7 +116,8 @@
 	parts := make(map[string]StoredPart)
 	for part, e := range s.table.entries {
 		if _, mine := written[part]; e.active() && (mine || rank(part) < storeWriters) {
-			parts[part] = StoredPart{Part: part, SinceMS: unixMS(e.since), TriedMS: unixMS(e.tried), ConfirmedMS: unixMS(e.confirmed)}
+			parts[part] = StoredPart{Part: part, SinceMS: unixMS(e.since), TriedMS: unixMS(e.tried), ConfirmedMS: unixMS(e.confirmed),
+				Crashes: e.crashes, SupportMS: unixMS(e.support)}
 		}
 	}
 	return parts
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -32,12 +32,26 @@
 // are zero for what has not happened.
 type entry struct {
 	since, tried, confirmed, released time.Time
+	// crashes is the number of crashes that the part explained, support the time from
+	// which on they make up a quarantine even if the part was answered before. Both are
+	// zero if unknown.
+	crashes int
+	support time.Time
 	// announced is set once the present state was sent to the other nodes.
 	announced bool
 }
 
 func (e *entry) active() bool { return e.released.IsZero() }
 
+// release ends the quarantine at a time after its begin, by which other nodes tell it
+// from an earlier one.
+func (e *entry) release(at time.Time) {
+	if earliest := e.since.Add(time.Millisecond); at.Before(earliest) {
+		at = earliest
+	}
+	e.released, e.announced = at, false
+}
+
 // nextTrial is the earliest time of the next trial.
 func (e *entry) nextTrial() time.Time {
 	next := e.since.Add(trialAfter)
@@ -57,7 +71,7 @@
 		if o.since.Sub(e.released) < reinstateAfter {
 			return false
 		}
-		*e = entry{since: o.since}
+		*e = entry{since: o.since, crashes: o.crashes, support: o.support}
 	}
 	// A release that is known stays as it is: other nodes state a later time, as
 	// their messages were under way.
@@ -90,7 +104,7 @@
 }
 
 func newTable() *table {
-	return &table{entries: make(map[string]*entry), evidence: evidence{unreported: make(map[string]struct{})}}
+	return &table{entries: make(map[string]*entry), evidence: evidence{unreported: make(map[string]bool)}}
 }
 
 // crashed records that an upstream crashed, and which parts of a request it was
@@ -123,42 +137,74 @@
 func (t *table) answer(part string, at time.Time) (released bool) {
 	t.answered.set(part, at)
 	t.noteAnswer(part)
-	if e := t.entries[part]; e != nil && e.active() && at.After(e.since) {
-		e.released, e.announced = at, false
+	if e := t.entries[part]; e != nil && e.active() && (at.After(e.since) || t.refutes(part, e)) {
+		e.release(at)
 		return true
 	}
 	return false
 }
 
+// refutes reports whether the crashes that led to a quarantine don't suffice for it,
+// with the answers that this node knows of: the node that decided on it may have been
+// started, or have been out of reach, since the part was answered.
+func (t *table) refutes(part string, e *entry) bool {
+	answered := t.answered.get(part)
+	if e.crashes == 0 || answered.IsZero() || !e.confirmed.IsZero() {
+		return false
+	}
+	return e.crashes < minCrashesAnswered || answered.After(e.support)
+}
+
+// refuteEntry releases a part that another node holds in quarantine, and lets the others
+// know of the answer. It returns false if this was released before.
+func (t *table) refuteEntry(part string, o *entry) bool {
+	e := t.entries[part]
+	switch {
+	case e == nil && len(t.entries) >= maxEntries:
+		return false
+	case e != nil && !e.active() && !o.since.After(e.released):
+		return false
+	}
+	e = &entry{since: o.since}
+	e.release(t.answered.get(part))
+	t.entries[part] = e
+	t.unreported[part] = true
+	return true
+}
+
 // decide quarantines the parts that explain crashes, and releases those whose
-// crashes are explained by others.
+// crashes are explained by others. Crashes that a part in quarantine explains give no
+// reason to quarantine another: the node that decided on it may know more of them.
 func (t *table) decide(now time.Time) []change {
 	t.expire(now)
 	var changes []change
-	found := t.explain()
-	for _, x := range found {
-		e := t.entries[x.part]
-		if e != nil && (e.active() || now.Sub(e.released) < reinstateAfter) || len(t.entries) >= maxEntries {
-			continue
-		}
-		t.entries[x.part] = &entry{since: now}
-		changes = append(changes, change{part: x.part, quarantined: true, explanation: x})
-	}
+	var held []string
+	found := t.explain(nil)
 	for _, part := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[part]
 		if e.active() && e.confirmed.IsZero() && t.explainedAway(part, found) {
-			e.released, e.announced = now, false
+			e.release(now)
 			changes = append(changes, change{part: part, reason: "other parts explain the crashes"})
 		}
-		if !e.active() && now.Sub(e.released) > evidenceTTL {
+		if e.active() {
+			held = append(held, part)
+		} else if now.Sub(e.released) > evidenceTTL {
 			delete(t.entries, part)
 		}
 	}
+	for _, x := range t.explain(held) {
+		if e := t.entries[x.part]; e != nil && now.Sub(e.released) < reinstateAfter || len(t.entries) >= maxEntries {
+			continue
+		}
+		t.entries[x.part] = &entry{since: now, crashes: x.crashes, support: x.support()}
+		changes = append(changes, change{part: x.part, quarantined: true, explanation: x})
+	}
 	return changes
 }
 
-// explainedAway reports whether there are crashes of which the part is suspected
-// and other parts explain all of them.
+// explainedAway reports whether there are crashes of which the part is suspected, as
+// many as a quarantine needs, and other parts explain all of them. A node that knows
+// fewer can't judge another's decision.
 func (t *table) explainedAway(part string, found []explanation) bool {
 	if slices.ContainsFunc(found, func(x explanation) bool { return x.part == part }) {
 		return false
@@ -173,7 +219,7 @@
 			return false
 		}
 	}
-	return crashes > 0
+	return crashes >= minCrashes
 }
 
 // blocked returns the first part in quarantine that keeps a request from being
@@ -205,6 +251,9 @@
 // that was known.
 func (t *table) merge(part string, o *entry) bool {
 	e := t.entries[part]
+	if stands := e != nil && e.active() && !t.refutes(part, e); o.active() && !stands && t.refutes(part, o) {
+		return t.refuteEntry(part, o)
+	}
 	if e != nil {
 		return e.merge(o)
 	}
