--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"io"
-	"io/fs"
 	"net"
 	"os"
 	"os/exec"
@@ -52,9 +51,6 @@
 		return 1, err
 	}
 	defer os.RemoveAll(folder)
-	if err := statSources("../../cmd", "../../pkg"); err != nil {
-		return 1, err
-	}
 	binary, keyFolder = filepath.Join(folder, "cassiapin"), folder
 	build := exec.Command("go", "build", "-race", "-o", binary, "cassiapin/cmd/cassiapin")
 	build.Stderr = os.Stderr
@@ -71,24 +67,6 @@
 	return m.Run(), nil
 }
 
-// statSources accesses the sources of the node binary. The go command caches a
-// test's result unless a file that the test accessed has changed, and these
-// sources are not part of the test binary.
-func statSources(folders ...string) error {
-	for _, folder := range folders {
-		err := filepath.WalkDir(folder, func(path string, _ fs.DirEntry, err error) error {
-			if err == nil {
-				_, err = os.Stat(path)
-			}
-			return err
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // The ports of nodes and proxies are below the ephemeral port range, so that no
 // outgoing connection takes the port of a proxy or node that is restarted.
 const (
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"cassiapin/platform/platformtest"
 )
 
 // output collects the standard error of a process.
@@ -54,6 +56,7 @@
 // start runs the binary with the settings.
 func (p *process) start(t *testing.T, settings string) {
 	t.Helper()
+	platformtest.DependOnProgram(t)
 	file := filepath.Join(t.TempDir(), fmt.Sprintf("node-%d.toml", p.index))
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"io/fs"
 	"maps"
 	"math/rand"
 	"net"
@@ -56,20 +55,6 @@
 		return 1, err
 	}
 	defer os.RemoveAll(folder)
-	// The go command caches a test's result unless a file that the test accessed
-	// has changed. The program's sources are not part of the test binary, so they
-	// are accessed here.
-	for _, sources := range []string{"../../cmd", "../../pkg", "../../platform"} {
-		err := filepath.WalkDir(sources, func(path string, _ fs.DirEntry, err error) error {
-			if err == nil {
-				_, err = os.Stat(path)
-			}
-			return err
-		})
-		if err != nil {
-			return 1, err
-		}
-	}
 	binary = filepath.Join(folder, "cassiapin")
 	build := exec.Command("go", "build", "-race", "-o", binary, "cassiapin/cmd/cassiapin")
 	build.Stderr = os.Stderr
@@ -209,6 +194,7 @@
 const restartAfter = 700 * time.Millisecond
 
 func newFleet(t *testing.T, seed int64) *fleet {
+	platformtest.DependOnProgram(t)
 	fleets <- struct{}{}
 	t.Cleanup(func() { <-fleets })
 	slot := claimSlot(t)
--- a/test/stop/harness_test.go
+++ b/test/stop/harness_test.go
@@ -10,7 +10,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"io/fs"
 	"maps"
 	"net"
 	"net/http"
@@ -45,19 +44,6 @@
 		return 1, err
 	}
 	defer os.RemoveAll(folder)
-	// The go command caches a test's result unless a file that the test accessed has
-	// changed.
-	for _, sources := range []string{"../../cmd", "../../pkg", "../../platform"} {
-		err := filepath.WalkDir(sources, func(path string, _ fs.DirEntry, err error) error {
-			if err == nil {
-				_, err = os.Stat(path)
-			}
-			return err
-		})
-		if err != nil {
-			return 1, err
-		}
-	}
 	binary = filepath.Join(folder, "cassiapin")
 	build := exec.Command("go", "build", "-race", "-o", binary, "cassiapin/cmd/cassiapin")
 	build.Stderr = os.Stderr
@@ -291,6 +277,7 @@
 func (h *host) start() *process {
 	t := h.site.t
 	t.Helper()
+	platformtest.DependOnProgram(t)
 	p := &process{host: h, exited: make(chan struct{})}
 	p.cmd = exec.Command(binary, "route", "--settings", h.file())
 	// The race detector otherwise waits for a second at the end.
