--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -111,7 +111,9 @@
 		return
 	}
 	if at := e.answered.get(part); !at.IsZero() && e.isNews(part, at) {
-		e.unreported[part] = e.unreported[part]
+		if _, known := e.unreported[part]; !known {
+			e.unreported[part] = false
+		}
 	}
 }
 
