Edge: a node without a list of the nodes isn't the only one

A node whose first list of the nodes took over 500 ms was the first reader of the store and took the whole of each limit until it had joined.

Cause: the number of nodes was 1 until a list had been answered, and the first list was cut off with the node's start after 500 ms, then not repeated for a second, so an answer that is late made a node that counts itself alone for long.

A node that has joined no other and has no list yet isn't a reader for others: it reads the store for itself, as one does that has no notices. It shares the limits with the nodes that its settings name, and is the only one if they name none. The first list isn't cut off any more; the start doesn't wait for it longer than before. A node that is really alone serves as before, and is the first reader once the store has answered a list.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -106,6 +106,7 @@
 	n.registry = newRegistry(store, s.Host, entry{
 		Fingerprint: peer.Fingerprint(pair.Certificate[0]), PeerAddress: s.AdvertisedPeerAddress(),
 	})
+	n.registry.expected = expectedNodes(s)
 	transport := peer.NewTransport(peer.Options{
 		Self: peer.NodeID(id), Listen: s.PeerAddress(),
 		Ephemeral: &peer.Ephemeral{Certificate: pair, IsTrusted: n.registry.isTrusted},
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -260,10 +260,10 @@
 
 // Rank implements storeview.Peers. After the loss of most nodes the others choose
 // new readers among themselves. A node that has not joined the other nodes in
-// the store does not read it for them yet: when many nodes start at once, each
-// would be the first reader of its own fleet.
+// the store, or doesn't know yet whether there are any, does not read it for them: when
+// many nodes start at once, each would be the first reader of its own fleet.
 func (n notices) Rank() int {
-	if len(n.members.Live()) <= 1 && n.registry.nodeCount() > 1 {
+	if len(n.members.Live()) <= 1 && n.registry.mayHaveOthers() {
 		return storeview.Readers
 	}
 	ids := readers(n.members.Reachable())
--- a/pkg/edge/registry.go
+++ b/pkg/edge/registry.go
@@ -16,6 +16,7 @@
 	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/peer"
 	"cassiapin/pkg/result"
+	"cassiapin/pkg/settings"
 	"cassiapin/pkg/storeview"
 	"cassiapin/pkg/topology"
 )
@@ -38,8 +39,9 @@
 }
 
 const (
-	// registerTimeout bounds the first attempt to register, which delays the
-	// node's start: other nodes accept its messages only once it is registered.
+	// registerTimeout bounds the first attempt to register, and the wait for the list after
+	// it, which delay the node's start: other nodes accept its messages only once it is
+	// registered.
 	registerTimeout = 500 * time.Millisecond
 	// registerRetry is the pause between attempts to register, and between the first two
 	// to remove the entry; later ones double up to maxLeaveRetry, with a random half more
@@ -71,7 +73,9 @@
 	store entryStore
 	host  string
 	own   entry
-	log   *slog.Logger
+	// expected is the number of nodes that the settings name, this one included.
+	expected int
+	log      *slog.Logger
 	// ctx ends the lookups of certificates, which belong to no service, when the
 	// registry is closed by close.
 	ctx   context.Context
@@ -87,7 +91,8 @@
 	// trusted has the revisions of the entries by fingerprint, zero for this node's.
 	trusted map[string]topology.Revision
 	seeds   []string
-	// nodes is the number of nodes with an entry as of the latest list, this one included.
+	// nodes is the number of nodes with an entry as of the latest list, this one included;
+	// zero before the first.
 	nodes int
 	// listed is the start of the latest list, and listRevision the store's revision in
 	// the latest answer to one.
@@ -103,6 +108,18 @@
 	return r
 }
 
+// expectedNodes is the number of nodes that the settings of one name, itself included. The
+// platform names a few of a fleet, which may be the node itself.
+func expectedNodes(s *settings.Router) int {
+	nodes := map[string]bool{s.AdvertisedPeerAddress(): true}
+	for _, seed := range s.PeerSeeds() {
+		if seed != s.PeerAddress() {
+			nodes[seed] = true
+		}
+	}
+	return len(nodes)
+}
+
 func (*registry) Name() string { return "fleet.registry" }
 
 func (r *registry) Provision(k *kernel.Kernel) error {
@@ -110,34 +127,47 @@
 	return nil
 }
 
-// Run registers the node, with retries until the store accepts its entry.
+// Run registers the node, with retries until the store accepts its entry, and lists the
+// nodes. A list that takes long goes on while the other services start.
 func (r *registry) Run(t *tomb.Tomb) error {
-	ctx, cancel := context.WithTimeout(t.Context(context.Background()), registerTimeout)
+	ctx := t.Context(context.Background())
+	first, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if r.register(ctx) {
-		return nil
-	}
+	written, listed := r.write(first), make(chan struct{})
 	t.Go(func() error {
-		for !r.register(t.Context(context.Background())) {
+		defer close(listed)
+		for accepted := written; !accepted; accepted = r.write(ctx) {
 			select {
 			case <-t.Dying():
 				return nil
 			case <-time.After(registerRetry):
 			}
 		}
+		r.list(ctx)
 		return nil
 	})
+	if written {
+		select {
+		case <-listed:
+		case <-first.Done():
+		}
+	}
 	return nil
 }
 
-func (r *registry) register(ctx context.Context) bool {
+// write makes one attempt to write the node's entry.
+func (r *registry) write(ctx context.Context) bool {
 	if err := r.store.Put(ctx, storeview.Nodes, r.host, r.own); err != nil {
 		r.log.Warn(eventlog.NotRegistered, "host", r.host, "error", err.Error())
 		return false
 	}
+	return true
+}
+
+// list lists the nodes for one that has just written its entry.
+func (r *registry) list(ctx context.Context) {
 	r.refresh(ctx, time.Now())
 	r.log.Info(eventlog.Registered, "host", r.host, "fingerprint", r.own.Fingerprint, "nodes", r.nodeCount())
-	return true
 }
 
 // leave removes the node's entry, with retries until the store confirms it or ctx
@@ -259,11 +289,23 @@
 	return slices.ContainsFunc(r.live(), func(m peer.Member) bool { return m.Fingerprint == fingerprint })
 }
 
-// nodeCount is the number of nodes with an entry, this one included.
+// nodeCount is the number of nodes with an entry, this one included, or of those that the
+// settings name until a list has been answered.
 func (r *registry) nodeCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.nodes, 1)
+	if r.nodes == 0 {
+		return max(r.expected, 1)
+	}
+	return r.nodes
+}
+
+// mayHaveOthers reports whether there may be other nodes: the store has entries of others,
+// or has not answered a list yet.
+func (r *registry) mayHaveOthers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nodes != 1
 }
 
 // refresh reads the entries, unless a list has begun after the given time, and
--- a/pkg/edge/registry_test.go
+++ b/pkg/edge/registry_test.go
@@ -93,9 +93,10 @@
 	r := newRegistry(store, "front-0", entry{Fingerprint: "own", PeerAddress: "127.0.0.1:1"})
 	r.log = slog.New(slog.DiscardHandler)
 	t.Cleanup(r.close)
-	if !r.register(t.Context()) {
+	if !r.write(t.Context()) {
 		t.Fatal("the node is not registered")
 	}
+	r.list(t.Context())
 	return r
 }
 
