Store view: large kinds are listed again, at a pause that grows

A deletion of an upstream that no watch shows stayed unknown where there are more than 100 upstreams.

Cause: only kinds of up to 100 objects were listed again, for the cost; what a watch has missed between two changes that it shows is found by nothing else.

The first reader, or a standby that has no notice to rely on, lists a kind of n objects, more than 100, again once in (n/100)^2 times the time of a small one; notices tell the others what the list found, as for small kinds. Nodes that aren't readers don't list a large kind again. A list that fails is repeated only after the same pause, so that the watches go on. Small kinds are listed as before.

Such a deletion is known after 1.6 bounds at 146 upstreams and 27 bounds at 600, computed.

--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -62,7 +62,8 @@
 	}
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
-	f.reported = s.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	f.triedAt = s.clock.Now()
+	f.reported = f.triedAt.Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
 	s.proveByReply(f.kind, began, r)
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -33,10 +33,11 @@
 	// known whether there is a later one.
 	maxListedBytes = 64 << 10
 	// rereadShare is the longest time between two lists of a kind by the first reader,
-	// as a fraction of EffectiveIn, and maxRereadObjects the most objects of a kind that
-	// is listed again. The rest of the time is for a notice and the calls that follow it.
-	rereadShare      = 0.75
-	maxRereadObjects = 100
+	// as a fraction of EffectiveIn. The rest of the time is for a notice and the calls
+	// that follow it. A kind of more than rereadObjects is large: the time grows with the
+	// square of the number of objects, so that a larger one takes fewer bytes per second.
+	rereadShare   = 0.75
+	rereadObjects = 100
 )
 
 // follower lists and watches one kind.
@@ -48,8 +49,9 @@
 	// see listAnswer.shown and watchAnswer.shown. The state may have later changes.
 	from   topology.Revision
 	listed bool
-	// listedAt is the start of the latest list.
-	listedAt time.Time
+	// listedAt is the start of the latest list, and triedAt that of the latest attempt at
+	// one, or the time of a copy.
+	listedAt, triedAt time.Time
 	// changed is a revision such that the kind did not change after it, up to
 	// from; the store's revisions count the changes of all kinds.
 	changed topology.Revision
@@ -132,6 +134,7 @@
 	var changes []Change
 	switch {
 	case lists:
+		f.triedAt = start
 		var a listAnswer
 		if a, err = s.list(ctx, f.kind, f.changedBetween(start)); err == nil {
 			f.noteList(a, revealed, start)
@@ -186,25 +189,28 @@
 	return !f.listed || f.relistDue || f.missesSeveral() || f.rereadDue()
 }
 
-// rereadDue reports whether this node has to list a small kind again: as the first reader
-// before the bound has passed, and any other when it has no notice to rely on. A watch may
-// end without a change of its time, or with a later one only, and no call of a node that
-// relies on this one finds it then.
+// rereadDue reports whether this node has to list a kind again. A watch may end without a
+// change of its time, or with a later one only, and no call of a node that relies on this
+// one finds it then. A small kind is listed by the first reader before the bound has passed,
+// and by any other node when it has no notice to rely on; a large one by readers only.
 func (f *follower) rereadDue() bool {
-	s := f.service
-	if !f.small() {
+	s, rank := f.service, f.service.rank()
+	objects := s.objectCount(f.kind)
+	large := objects > rereadObjects
+	switch {
+	case f.kind == Configurations && !s.smallConfig(), large && rank >= Readers:
 		return false
+	case rank > 0 && f.freshFor() > 0:
+		return false
+	case rank > 0 && !large:
+		return true
 	}
-	if s.rank() > 0 {
-		return f.freshFor() <= 0
+	pause, last := time.Duration(rereadShare*float64(s.opts.EffectiveIn[f.kind])), f.listedAt
+	if large {
+		// A list that fails is not repeated at once: watches have to go on.
+		pause, last = pause*time.Duration(objects*objects)/(rereadObjects*rereadObjects), f.triedAt
 	}
-	return s.clock.Since(f.listedAt)+f.wait() > time.Duration(rereadShare*float64(s.opts.EffectiveIn[f.kind]))
-}
-
-// small reports whether a list of the kind costs about as much as a watch.
-func (f *follower) small() bool {
-	s := f.service
-	return s.objectCount(f.kind) <= maxRereadObjects && (f.kind != Configurations || s.smallConfig())
+	return s.clock.Since(last)+f.wait() > pause
 }
 
 // noteList records a list that began at a time, when the store had revealed a revision.
