Store view: a configuration that no notice announces reaches rejected nodes

While the store rejects all readers, the sound nodes have a configuration by a call of their own, and the rejected ones when the store takes them again.

Cause: a node whose calls fail asked another one only for what a notice had announced, and only readers send notices, of what they have read themselves.

Once its state is stale, such a node asks another of its region for anything newer, at most once each 0.1 of the bound; a node with the same digest sends no copy. A reader floods what it has found so. That notice has the age of the state that it is from, so that nobody calls the store later for it, and the revision of the configuration, so that nodes that have read it don't fetch. The query's proof counts as before; the notice proves nothing.

TestReadersRejected failed on ("configuration 10 not applied after 1.2s", twice the bound there); TestPassedOnAge fails without the age ("the state counts as 27.821µs old, want a second").

--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -58,6 +58,8 @@
 	pending topology.Revision
 	// asked is the latest pending revision that the parent was asked for.
 	asked topology.Revision
+	// queried is the time of the latest query to another node in place of the store.
+	queried time.Time
 	// latency is the duration of a call without a wait; zero requests such a
 	// call, which measures it.
 	latency     time.Duration
@@ -316,13 +318,13 @@
 
 // waitForRetry waits until this follower may call the store again: until its
 // backoff ends, until the store answers another follower, or, unless this node
-// is the first reader, until a notice makes its state fresh.
+// is the first reader, until a notice or another node's reply makes its state fresh.
 func (f *follower) waitForRetry(ctx context.Context) {
 	s := f.service
 	s.backoff.failed(s.clock.Now())
 	for {
 		wait, answered := s.backoff.claim(s.clock.Now())
-		if wait == 0 {
+		if wait == 0 || f.queryPeer(ctx) && f.freshFor() > 0 && s.rank() > 0 {
 			return
 		}
 		select {
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -36,6 +36,10 @@
 	// Sender is the node that has published the notice; earlier releases name none.
 	Sender string `cbor:"10,keyasint,omitempty"`
 
+	// AgeMS is the time since the store confirmed the sender's state; it is set if the
+	// sender has the changes from another node.
+	AgeMS int64 `cbor:"11,keyasint,omitempty"`
+
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
 
@@ -153,10 +157,15 @@
 	if f.kind == Configurations {
 		encoded = patchChanges(base, changes)
 	}
-	if packed, err := packChanges(encoded); err == nil && len(encoded) > 0 && len(packed) <= noticeBytes {
+	n.pack(encoded)
+	s.send(n)
+}
+
+// pack includes changes in the notice unless they are too large.
+func (n *Notice) pack(changes []NoticeChange) {
+	if packed, err := packChanges(changes); err == nil && len(changes) > 0 && len(packed) <= noticeBytes {
 		n.Packed = packed
 	}
-	s.send(n)
 }
 
 func (s *Service) send(n Notice) {
@@ -258,6 +267,7 @@
 		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, ageMS: k.AgeMS, digest: k.Digest})
 	}
 	if len(n.Known) == 0 {
+		n.ageMS = max(n.AgeMS, 0)
 		s.queue(n)
 	}
 }
--- a/pkg/storeview/notice_test.go
+++ b/pkg/storeview/notice_test.go
@@ -85,12 +85,15 @@
 	// parent is nil at the root; parentFrozen keeps it from answering.
 	parent       *hubPeer
 	parentFrozen atomic.Bool
-	// published counts the notices that the service sent.
-	published atomic.Int64
+	// published counts the notices that the service sent, and queries and copies its
+	// queries to nearby nodes and the configurations in their replies.
+	published, queries, copies atomic.Int64
 	// dropNotices discards the notices that the service sends.
 	dropNotices atomic.Bool
 	// unreachable keeps the service from answering queries for proofs.
 	unreachable atomic.Bool
+	// alone keeps the service from finding a nearby node.
+	alone atomic.Bool
 	// beforeReply, a func(), is called before the service's next reply to such a query
 	// is passed on.
 	beforeReply atomic.Value
@@ -152,12 +155,14 @@
 	s.hub.answers[s.index] = handle
 }
 
-func (s *hubPeer) Query(ctx context.Context, q Query) (Reply, error) {
+func (s *hubPeer) Query(ctx context.Context, q Query) (reply Reply, err error) {
+	s.queries.Add(1)
+	defer func() { s.copies.Add(int64(min(len(reply.Notice.Packed), 1))) }()
 	s.hub.mu.Lock()
 	answers := slices.Clone(s.hub.answers)
 	s.hub.mu.Unlock()
 	for i, answer := range answers {
-		if i != s.index && answer != nil {
+		if i != s.index && answer != nil && !s.alone.Load() {
 			return answer(ctx, q)
 		}
 	}
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -21,7 +21,8 @@
 	// WaitMS is how long the receiver waits for a later revision if it knows
 	// none yet.
 	WaitMS int64 `cbor:"3,keyasint,omitempty"`
-	// Prove requests a proof of the state with the digest; see Service.prove.
+	// Prove requests a proof of the state with the digest; see Service.prove. Without
+	// it, a receiver that has the same state answers that it knows nothing newer.
 	Prove  bool   `cbor:"6,keyasint,omitempty"`
 	Digest uint64 `cbor:"7,keyasint,omitempty"`
 }
@@ -88,22 +89,57 @@
 	return true
 }
 
-// queryPeer fetches a configuration announced by notices from another node when
-// the store does not answer this one.
+// unannouncedShare is the shortest time from a query to one for a configuration that no
+// notice has announced, as a fraction of Options.EffectiveIn.
+const unannouncedShare = 0.1
+
+// queryPeer fetches a configuration from another node when the store does not answer
+// this one: one that notices have announced or, once this node's state is stale, any
+// later one, since the store may not answer the readers either. A reader passes on what
+// no notice has announced.
 func (f *follower) queryPeer(ctx context.Context) bool {
 	s := f.service
-	if f.kind != Configurations || !f.listed || f.pending <= f.from || s.opts.Peers == nil {
+	if f.kind != Configurations || !f.listed || s.opts.Peers == nil {
 		return false
 	}
+	q := Query{Kind: f.kind, After: f.from, Packed: true}
+	if f.pending <= f.from {
+		rest := time.Duration(unannouncedShare * float64(s.opts.EffectiveIn[f.kind]))
+		if f.freshFor() > 0 || s.clock.Since(f.queried) < rest {
+			return false
+		}
+		q.Digest = f.digest()
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
+	f.queried = s.clock.Now()
 	asked := s.pauses.now()
-	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, After: f.from, Packed: true})
+	r, err := s.opts.Peers.Query(ctx, q)
 	if err != nil {
 		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
 		return false
 	}
-	return f.applyReply(asked, r)
+	before, base := f.changed, s.currentConfig()
+	if !f.applyReply(asked, r) {
+		return false
+	}
+	if config := s.currentConfig(); q.Digest != 0 && config.Revision > base.Revision {
+		f.passOn(before, base, config, r.AgeMS)
+	}
+	return true
+}
+
+// passOn sends a configuration that a reader has from another node, whose state has an age
+// in milliseconds. The notice names the configuration's own revision: nodes that have read
+// it have none to fetch.
+func (f *follower) passOn(before topology.Revision, base, config Object, ageMS int64) {
+	s := f.service
+	if s.rank() >= Readers {
+		return
+	}
+	n := Notice{Kind: f.kind, From: before, To: config.Revision, AgeMS: ageMS}
+	n.pack(patchChanges(base, []Change{{Object: config}}))
+	s.send(n)
 }
 
 var errNothingNewer = errors.New("no newer revision known")
@@ -145,7 +181,8 @@
 // newestLocked is newest for callers that hold the lock.
 func (s *Service) newestLocked(q Query) (Reply, error) {
 	known := s.latestProgress[Configurations]
-	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 {
+	same := q.Digest != 0 && q.Digest == s.digests[Configurations].value()
+	if q.Kind != Configurations || known.from <= q.After || s.config.Revision == 0 || same {
 		return Reply{}, errNothingNewer
 	}
 	if s.undecoded != 0 {
