Store view: a region copies a large configuration among its nodes

Cause: a parent waits 0.6 s for an announced configuration, the roots needed 0.8 s for 645 KB, so all 41 other nodes listed it over the link of 60 Mbit/s at once (26 MB, 3.5 s). Their lists stalled, were aborted and begun again after each notice, which kept the link full. And version 8 was fetched although its difference has 543 bytes: a notice of revisions had overtaken the one with the changes at all nodes.

A node now goes on asking its parent, and a random node of its region, until half of the bound has passed, also after a list that failed. Before it fetches anything it waits 0.05 of the bound for the changes. A node that starts and whose list fails copies the configuration from its region, if that state was the newest within 0.4 of the bound; one that has lost the history still needs a list. A copy proves what the other node had proven, as other replies do.

TestParentInTransfer, TestChangesAfterAnnouncement and TestCopyAfterFailedList failed before (the configuration isn't copied, at revision 1; the changes aren't awaited, as a transfer from the store; start: copied false, want true).

--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -47,14 +47,39 @@
 		}
 	}
 	began := s.pauses.now()
-	r, ok := f.wholeFromParent(ctx)
-	if !ok {
-		return
+	if r, ok := f.wholeFromParent(ctx); ok {
+		f.applyCopy(began, r)
+	}
+}
+
+// copyConfiguration copies the configuration from another node of the region when this
+// node starts and its list has failed: when many nodes start at once, their lists of a
+// large one fill the link to the store. A copy that isn't fresh could be followed by
+// changes that no notice will tell.
+func (f *follower) copyConfiguration(ctx context.Context) bool {
+	s := f.service
+	if f.kind != Configurations || s.opts.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
+	defer cancel()
+	began := s.pauses.now()
+	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, Packed: true})
+	age := time.Duration(r.AgeMS) * time.Millisecond
+	if err != nil || r.Notice.Kind != f.kind || age > time.Duration(copyShare*float64(s.opts.EffectiveIn[f.kind])) {
+		return false
 	}
+	return f.applyCopy(began, r)
+}
+
+// applyCopy applies another node's copy of the whole kind, which was requested at a time
+// of the clock of pauses.
+func (f *follower) applyCopy(began time.Duration, r Reply) bool {
+	s := f.service
 	changes, err := unpackChanges(r.Notice.Packed)
 	if err != nil {
 		s.log.Warn(eventlog.ObjectRefused, "kind", f.kind.String(), "revision", r.Notice.To, "error", err.Error())
-		return
+		return false
 	}
 	var objects []Object
 	for _, c := range (&Notice{Changes: changes}).changes() {
@@ -66,6 +91,7 @@
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
 	s.proveByReply(f.kind, began, r)
+	return true
 }
 
 // wholeFromParent queries the parent until it knows the kind. ok is false at the root
--- a/pkg/storeview/follower.go
+++ b/pkg/storeview/follower.go
@@ -58,6 +58,8 @@
 	pending topology.Revision
 	// asked is the latest pending revision that the parent was asked for.
 	asked topology.Revision
+	// followed is set if a notice with the changes up to pending may still arrive.
+	followed bool
 	// latency is the duration of a call without a wait; zero requests such a
 	// call, which measures it.
 	latency     time.Duration
@@ -85,7 +87,7 @@
 	f.copyFromParent(ctx)
 	for ctx.Err() == nil {
 		f.consumeNotices(ctx)
-		if f.queryParent(ctx) {
+		if f.awaitChanges(ctx) || f.queryParent(ctx) {
 			continue
 		}
 		start := s.clock.Now()
@@ -312,6 +314,7 @@
 		s.update(func(time.Time) bool { s.tracker.StoreLost(f.kind, start); return false })
 	}
 	f.latency, f.callTimeout = 0, min(2*f.callTimeout, maxCallTimeout)
+	f.asked = 0 // The parent may have got what was announced meanwhile.
 }
 
 // waitForRetry waits until this follower may call the store again: until its
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -364,7 +364,8 @@
 		return !f.relist(n.digest)
 	case n.To > f.from && (!n.Complete || n.From > f.from || len(n.Changes) > 0 && n.To <= f.answered || !f.expand(&n)):
 		// The notice lacks changes, or a list may have shown later ones.
-		f.latency = 0 // Makes the next call without a wait.
+		f.latency = 0                                  // Makes the next call without a wait.
+		f.followed = n.digest != 0 && n.To > f.pending // Not a notice of changes that lacks them.
 		f.pending = max(f.pending, n.To)
 		s.announced[f.kind].Store(uint64(f.pending))
 		return false
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -43,17 +43,43 @@
 const (
 	// parentWaitShare is how long a node's parent may wait until it has a
 	// configuration itself, and parentTimeoutShare how long the node waits for
-	// the answer, as fractions of Options.EffectiveIn. Then the node reads the
-	// store.
+	// the answer, as fractions of Options.EffectiveIn. After parentsShare the node
+	// reads the store.
 	parentWaitShare    = 0.15
 	parentTimeoutShare = 0.25
+	parentsShare       = 0.5
 )
 
 // ErrNoParent is returned to the root of a tree.
 var ErrNoParent = errors.New("this node has no parent")
 
+// awaitChanges waits a moment for the notice with the changes of a configuration that
+// another notice has announced: messages may overtake each other, and a difference is far
+// shorter than the configuration. It returns false if the changes have to be fetched.
+func (f *follower) awaitChanges(ctx context.Context) bool {
+	s := f.service
+	if f.kind != Configurations || !f.listed || !f.followed || s.rank() == 0 {
+		return false
+	}
+	f.followed = false
+	end := s.clock.After(s.coalesce(f.kind))
+	for f.pending > f.from {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-end:
+			return false
+		case n := <-s.notices[f.kind]:
+			f.applyNotice(n)
+		}
+	}
+	return true
+}
+
 // queryParent fetches a configuration announced by notices from this node's
 // parent, so that only the root of each failure domain reads it from the store.
+// While the parent fetches it too, this node goes on asking: lists of a large
+// configuration by all nodes would fill the link to the store, also for the roots.
 // It returns false if the store has to be read.
 func (f *follower) queryParent(ctx context.Context) bool {
 	s := f.service
@@ -62,18 +88,38 @@
 	}
 	f.asked = f.pending
 	limit := float64(s.opts.EffectiveIn[f.kind])
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(parentsShare*limit))
+	defer cancel()
+	for ctx.Err() == nil {
+		applied, err := f.askParent(ctx, limit)
+		switch {
+		case applied:
+			f.asked = 0 // The answer may be from before what was announced.
+			return true
+		case err == nil:
+			return false // The store has to be called for what it says.
+		case errors.Is(err, ErrNoParent) || s.rank() < Readers:
+			return false
+		}
+		s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
+		if f.queryPeer(ctx) {
+			f.asked = 0
+			return true
+		}
+		_ = s.clock.Sleep(ctx, joinPoll) // Ends early with ctx, which the loop checks.
+	}
+	return false
+}
+
+// askParent asks the parent once, and gives it some time to fetch the configuration.
+func (f *follower) askParent(ctx context.Context, limit float64) (applied bool, err error) {
+	s := f.service
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(parentTimeoutShare*limit))
 	defer cancel()
 	wait := time.Duration(parentWaitShare * limit)
 	asked := s.pauses.now()
 	r, err := s.opts.Peers.QueryParent(ctx, Query{Kind: f.kind, After: f.from, Packed: true, WaitMS: wait.Milliseconds()})
-	if err != nil {
-		if !errors.Is(err, ErrNoParent) {
-			s.log.Debug(eventlog.NoticeFailed, "kind", f.kind.String(), "revision", f.from, "error", err.Error())
-		}
-		return false
-	}
-	return f.applyReply(asked, r)
+	return err == nil && f.applyReply(asked, r), err
 }
 
 // applyReply applies the answer of another node to a query sent at a time of the clock
@@ -88,10 +134,13 @@
 	return true
 }
 
-// queryPeer fetches a configuration announced by notices from another node when
-// the store does not answer this one.
+// queryPeer fetches a configuration announced by notices, or the first one, from
+// another node when the store does not answer this one.
 func (f *follower) queryPeer(ctx context.Context) bool {
 	s := f.service
+	if !f.listed && f.from == 0 {
+		return f.copyConfiguration(ctx)
+	}
 	if f.kind != Configurations || !f.listed || f.pending <= f.from || s.opts.Peers == nil {
 		return false
 	}
--- a/pkg/storeview/transfer_test.go
+++ b/pkg/storeview/transfer_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cassiapin/pkg/clock"
+	"cassiapin/pkg/kernel"
 	"cassiapin/pkg/topology"
 )
 
@@ -58,3 +61,94 @@
 		})
 	}
 }
+
+// transferBound is the bound of the followers of transferFollowers.
+const transferBound = 4 * time.Second
+
+// transferFollowers returns followers of the configurations that have listed them, of
+// nodes that rely on notices. The first is the parent of the others.
+func transferFollowers(t *testing.T, store Store, n int) (followers []*follower) {
+	t.Helper()
+	h := &hub{}
+	for i := range n {
+		p := h.join(Readers)
+		if i > 0 {
+			p.parent = h.peers[0]
+		}
+		bounds := map[Kind]time.Duration{Configurations: transferBound}
+		s := New(Options{Store: store, Decoder: fakeDecoder{}, Peers: p, EffectiveIn: bounds})
+		if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+			t.Fatal(err)
+		}
+		f := &follower{service: s, kind: Configurations, callTimeout: minCallTimeout}
+		if err := f.call(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		followers = append(followers, f)
+	}
+	return followers
+}
+
+// TestParentInTransfer guards against nodes that each list a large configuration while
+// their parent transfers it: together they fill the link to the store.
+func TestParentInTransfer(t *testing.T) {
+	t.Parallel()
+	store := newFakeStore()
+	followers := transferFollowers(t, store, 2)
+	parent, child := followers[0], followers[1]
+	store.set(func() { store.version = 2 })
+	child.pending = 2
+	arrived := make(chan error, 1)
+	time.AfterFunc(3*transferBound/10, func() { // Longer than a parent waits for one query.
+		parent.relistDue = true
+		arrived <- parent.call(context.Background())
+	})
+	if !child.queryParent(t.Context()) || child.from != 2 {
+		t.Errorf("the configuration isn't copied, at revision %d", child.from)
+	}
+	if err := <-arrived; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestChangesAfterAnnouncement guards against nodes that fetch a whole configuration
+// because a notice of its revision has overtaken the one with the changes.
+func TestChangesAfterAnnouncement(t *testing.T) {
+	t.Parallel()
+	f := transferFollowers(t, newFakeStore(), 1)[0]
+	announced := Notice{Kind: Configurations, From: 2, To: 2, Complete: true, digest: newDigest([]Object{{Name: "main", Revision: 2}}).value()}
+	changes := Notice{Kind: Configurations, From: 1, To: 2, Complete: true, Changes: []NoticeChange{{Name: "main", Revision: 2}}}
+	if f.applyNotice(announced) {
+		t.Error("a notice without changes is applied")
+	}
+	time.AfterFunc(10*time.Millisecond, func() { f.service.queue(changes) })
+	if !f.awaitChanges(t.Context()) || f.from != 2 {
+		t.Errorf("the changes aren't awaited, at revision %d", f.from)
+	}
+}
+
+// TestCopyAfterFailedList copies the configuration to a node that starts and whose list
+// fails, but for a copy that may be old. A node that has lost the history needs a list.
+func TestCopyAfterFailedList(t *testing.T) {
+	for name, tc := range map[string]struct {
+		age    time.Duration
+		from   topology.Revision
+		copied bool
+	}{
+		"start":        {0, 0, true},
+		"old copy":     {transferBound / 2, 0, false},
+		"history lost": {0, 1, false},
+	} {
+		other := transferFollowers(t, newFakeStore(), 1)[0]
+		other.service.latestProgress[Configurations].reported = time.Now().Add(-tc.age)
+		peers := other.service.opts.Peers.(*hubPeer).hub.join(Readers)
+		s := New(Options{Store: newFakeStore(), Decoder: fakeDecoder{}, Peers: peers, EffectiveIn: other.service.opts.EffectiveIn})
+		if err := s.Provision(kernel.New(clock.Real{}, slog.New(slog.DiscardHandler))); err != nil {
+			t.Fatal(err)
+		}
+		f := &follower{service: s, kind: Configurations, from: tc.from}
+		if got := f.queryPeer(t.Context()); got != tc.copied || f.listed != tc.copied || (s.View().Config != nil) != tc.copied {
+			t.Errorf("%s: copied %t, want %t", name, got, tc.copied)
+		}
+	}
+}
