Soak: a caller has left once its connection is closed

The test takes the time before it closes the connection, and may not run for long in between.

Change: the time is taken after the call that closes.

--- a/test/soak/leavers_test.go
+++ b/test/soak/leavers_test.go
@@ -28,7 +28,9 @@
 // departure is a request whose caller left before its answer.
 type departure struct {
 	id, path, node, how string
-	left                time.Time
+	// left is when the connection had been closed: this process may not run for a while
+	// before that.
+	left time.Time
 	// ahead is set if the caller had sent the start of a next request.
 	ahead bool
 }
@@ -87,16 +89,16 @@
 	switch l.random.Intn(3) {
 	case 0:
 		d.how = "closed"
-		d.left = time.Now()
 		_ = tcp.Close()
+		d.left = time.Now()
 	case 1:
 		d.how = "reset"
-		d.left = time.Now()
 		abort(tcp)
+		d.left = time.Now()
 	case 2:
 		d.how = "half closed"
-		d.left = time.Now()
 		_ = tcp.CloseWrite()
+		d.left = time.Now()
 		time.Sleep(goneTime)
 	}
 	l.fleet.mu.Lock()
