Store view: entries missing after a node's own cut count as removed

Cause: after an outage of a second or more at this node, missing entries of upstreams were kept for 2.5 s (reregisterGrace) from its first answer, also if the store had answered the other nodes all the while. As one of the readers, such a node also passed its grace period on to all others.

Change: each node keeps the span in which the store has answered it, or the nodes whose notices it applies, without a gap of two heartbeats, in which a renewed entry can expire. While entries are missing in a grace period, a node asks another node of its region four times a second for that span. If the other node has the same objects, at a revision that includes the entries missing here, and its span began before the outage, the store was not away: the grace period ends and the upstreams are removed. If no node can say so, all stays as before. A notice says when the outage began that its grace period is for; a node in contact since then doesn't take it over. Nodes of earlier releases neither ask nor answer; the new fields are optional.

--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -27,6 +27,8 @@
 	// GraceMS is the remaining grace period for entries that expired in a store
 	// outage.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
+	// OutageMS is the time since that outage began; earlier releases send none.
+	OutageMS int64 `cbor:"11,keyasint,omitempty"`
 
 	// Packed replaces Changes by a compressed form that has everything between From
 	// and To, or the whole state in the reply to Query.All. Complete is not set then:
@@ -148,7 +150,8 @@
 		}
 		return
 	}
-	n := Notice{Kind: f.kind, From: before, To: f.from, GraceMS: s.graceLeft().Milliseconds()}
+	n := Notice{Kind: f.kind, From: before, To: f.from}
+	s.setGrace(&n)
 	encoded := noticeChanges(changes)
 	if f.kind == Configurations {
 		encoded = patchChanges(base, changes)
@@ -238,12 +241,6 @@
 	return out
 }
 
-func (s *Service) graceLeft() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(s.tracker.graceUntil.Sub(s.clock.Now()), 0)
-}
-
 // receive queues a notice for the followers of its kinds.
 func (s *Service) receive(n Notice) {
 	if !s.hlc.Observe(n.Stamp) {
@@ -369,7 +366,9 @@
 		s.announced[f.kind].Store(uint64(f.pending))
 		return false
 	}
-	s.lastAnswer[f.kind].Store(int64(s.pauses.now()))
+	received := s.pauses.now()
+	s.lastAnswer[f.kind].Store(int64(received))
+	s.noteContact(f.kind, received-time.Duration(n.ageMS)*time.Millisecond, received)
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.reported) {
 		f.reported = at
 	}
@@ -386,9 +385,7 @@
 		f.changed = n.To
 	}
 	s.update(func(now time.Time) bool {
-		if n.GraceMS > 0 {
-			s.tracker.Grace(now.Add(time.Duration(n.GraceMS) * time.Millisecond))
-		}
+		s.acceptGrace(n, now)
 		s.tracker.ConfirmedByPeer(f.kind)
 		changed := false
 		for _, c := range s.digests[f.kind].news(n.changes()) {
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -24,6 +24,9 @@
 	// Prove requests a proof of the state with the digest; see Service.prove.
 	Prove  bool   `cbor:"6,keyasint,omitempty"`
 	Digest uint64 `cbor:"7,keyasint,omitempty"`
+	// Contact requests Reply.ContactMS for the state with the digest, at a revision of
+	// at least After.
+	Contact bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Query.
@@ -34,6 +37,9 @@
 	// ProvenMS is the age of the sender's proof that the state is the newest, rounded
 	// up to at least 1; zero is no proof.
 	ProvenMS int64 `cbor:"3,keyasint,omitempty"`
+	// ContactMS is how long the store has answered the sender without a gap in which
+	// a renewed entry can expire; zero is unknown.
+	ContactMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // peerQueryTimeout bounds a query to another node; the answer is a configuration
@@ -120,6 +126,8 @@
 	switch {
 	case q.Prove:
 		newest = s.proofFor
+	case q.Contact:
+		newest = s.contactFor
 	case q.All:
 		newest = s.whole
 	}
--- a/pkg/storeview/service.go
+++ b/pkg/storeview/service.go
@@ -131,6 +131,10 @@
 	publishing sync.Mutex
 	// upstreams are the upstreams' objects, for nodes that start. mu guards them.
 	upstreams map[string]Object
+	// contact is this node's contact with the store, and missing the latest revision of
+	// an upstream whose entry was found missing. mu guards both.
+	contact contact
+	missing topology.Revision
 	// digests identify the current state of each kind; nil before the first
 	// list. mu guards them.
 	digests [Nodes]*digest
@@ -223,6 +227,10 @@
 			s.publishLoop(ctx)
 			return nil
 		})
+		t.Go(func() error {
+			s.graceLoop(ctx)
+			return nil
+		})
 	}
 	return nil
 }
@@ -260,11 +268,13 @@
 // list reads all objects of a kind. New ones appeared at the given time, or just
 // now if it is zero.
 func (s *Service) list(ctx context.Context, kind Kind, appeared time.Time) (listAnswer, error) {
+	began := s.pauses.now()
 	objects, revision, err := s.opts.Store.List(ctx, kind)
 	if err != nil {
 		return listAnswer{}, err
 	}
 	s.revealed.Note(revision)
+	s.noteContact(kind, began, s.pauses.now())
 	return listAnswer{objects, s.replaceAll(kind, objects, appeared), revision}, nil
 }
 
@@ -290,7 +300,9 @@
 		if known == nil {
 			news = nil
 		} else {
-			news = append(news, known.missing(present)...)
+			missing := known.missing(present)
+			s.noteMissing(kind, missing)
+			news = append(news, missing...)
 		}
 		maps.DeleteFunc(s.upstreams, func(name string, _ Object) bool { return kind == Upstreams && !present[name] })
 		return s.tracker.Retain(kind, present, now) || changed
@@ -303,11 +315,16 @@
 func (s *Service) watch(
 	ctx context.Context, kind Kind, from topology.Revision, wait, slack time.Duration, appeared time.Time,
 ) (watchAnswer, error) {
+	began := s.pauses.now()
 	changes, revision, err := s.opts.Store.Watch(ctx, kind, from, wait, slack)
 	if err != nil {
 		return watchAnswer{}, err
 	}
 	s.revealed.Note(revision)
+	if len(changes) == 0 {
+		began += wait // The store has held the call for so long.
+	}
+	s.noteContact(kind, began, s.pauses.now())
 	s.lastAnswer[kind].Store(int64(s.pauses.now()))
 	a := watchAnswer{changes: changes, revision: revision}
 	s.update(func(now time.Time) bool {
@@ -326,6 +343,9 @@
 // object. The caller holds the lock.
 func (s *Service) apply(kind Kind, c Change, now, appeared time.Time) (changed bool) {
 	var err error
+	if c.Deleted {
+		s.noteMissing(kind, []Change{c})
+	}
 	s.digests[kind].apply(c)
 	defer func() {
 		if p := recover(); p != nil {
--- a/pkg/storeview/tracker.go
+++ b/pkg/storeview/tracker.go
@@ -34,9 +34,10 @@
 	rollouts  map[string]*topology.Rollout
 	listed    [Nodes]bool
 	// lostAt is the start of the current outage of each kind; graceUntil is the
-	// end of the grace period for expired entries.
-	lostAt     [Nodes]time.Time
-	graceUntil time.Time
+	// end of the grace period for expired entries, and graceFor the start of the
+	// outage that it is for, zero if unknown.
+	lostAt               [Nodes]time.Time
+	graceUntil, graceFor time.Time
 }
 
 // tracked is an upstream and, while its entry is missing after an outage, the
@@ -68,7 +69,7 @@
 // enough for entries to expire, a grace period begins.
 func (t *Tracker) StoreAnswered(kind Kind, now time.Time) {
 	if kind == Upstreams && !t.lostAt[kind].IsZero() && now.Sub(t.lostAt[kind]) >= minOutage {
-		t.Grace(now.Add(reregisterGrace))
+		t.Grace(t.lostAt[kind], now.Add(reregisterGrace))
 	}
 	t.lostAt[kind] = time.Time{}
 }
@@ -78,13 +79,39 @@
 // notice carries the sender's grace period.
 func (t *Tracker) ConfirmedByPeer(kind Kind) { t.lostAt[kind] = time.Time{} }
 
-// Grace extends the grace period for entries that expired in an outage.
-func (t *Tracker) Grace(until time.Time) {
+// Grace extends the grace period for entries that expired in an outage that began at
+// lost, zero if unknown.
+func (t *Tracker) Grace(lost, until time.Time) {
 	if until.After(t.graceUntil) {
-		t.graceUntil = until
+		t.graceFor, t.graceUntil = lost, until
 	}
 }
 
+// AwaitsRenewals reports whether upstreams whose entries are missing stay until the end
+// of a grace period, and returns the start of the outage that it is for.
+func (t *Tracker) AwaitsRenewals(now time.Time) (lost time.Time, awaits bool) {
+	if t.graceFor.IsZero() || !now.Before(t.graceUntil) {
+		return time.Time{}, false
+	}
+	for _, u := range t.upstreams {
+		if !u.expiresAt.IsZero() {
+			return t.graceFor, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// EndGrace ends the grace period for the outage that began at lost, as the store was not
+// away. It removes the upstreams whose entries are missing and returns their ids.
+func (t *Tracker) EndGrace(lost time.Time) []string {
+	if !t.graceFor.Equal(lost) {
+		return nil
+	}
+	until := t.graceUntil
+	t.graceFor, t.graceUntil = time.Time{}, time.Time{}
+	return t.Expire(until)
+}
+
 // SetConfig sets the configuration unless it is older than the current one. It
 // reports whether the view changes.
 func (t *Tracker) SetConfig(c *topology.Config) bool {
