Canary: the ramp starts by the present rate of requests

Cause: rampFits took the mean rate since the order for that of the rest of the duration.

Change: the requests to come are counted at the highest rate of the last one to two seconds, at least at the mean rate. A node that decides samples the counts of all nodes each tick. Each decision before the start fits the rate seen then.

--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -93,6 +93,9 @@
 	// newSent is the number of requests to the new release, sent the number
 	// of all requests, at this node.
 	newSent, sent uint64
+	// samples are the latest numbers of requests of all nodes, on a node that receives
+	// the counts of all nodes.
+	samples []sample
 	// openOld is the number of open requests at the old release; pinnedOld is
 	// the number of those that cannot be resumed at another upstream, and
 	// longestPinned the longest time that one of these took.
@@ -213,6 +216,7 @@
 // completed in time. It is called on a node that receives the counts of all
 // nodes and reports whether it has started the ramp.
 func (ro *rollout) startRamp(now time.Time, exposure, extra float64) bool {
+	rate := ro.rate(now)
 	if ro.ramp > 0 || ro.halted != "" || !ro.hasEnoughAnswers() || ro.soundStats(now).unproved() {
 		return false
 	}
@@ -222,7 +226,7 @@
 	}
 	exposed, sent := ro.counted()
 	start := now.Sub(ro.started) + rampLead
-	fits := rampFits(ro.progress(now), float64(start)/float64(ro.object.Duration), float64(exposed), float64(sent), exposure, extra)
+	fits := rampFits(ro.progress(now), float64(start)/float64(ro.object.Duration), float64(exposed), float64(sent), rate, exposure, extra)
 	if fits || longest > 0 && start >= max(ro.fractionOf(earliestRamp), ro.fractionOf(1-rampLength)-longest-drainMargin) {
 		ro.ramp = start
 		return true
@@ -237,17 +241,45 @@
 	return ro.ramp == 0 && now.Sub(ro.started) >= ro.fractionOf(latestRamp)-rampLead && ro.soundStats(now).unproved()
 }
 
+// sample is the number of requests of all nodes until a time.
+type sample struct {
+	at   time.Time
+	sent uint64
+}
+
+// The present rate of requests is the highest since any time from maxRateWindow to
+// minRateWindow ago: over a shorter time it depends on when the nodes report, and on
+// reports that are lost, and over a longer one a rise shows late.
+const (
+	minRateWindow = 2 * messageTicks * tick
+	maxRateWindow = 2 * minRateWindow
+)
+
+// rate returns the requests of all nodes in a whole duration at the present rate, at
+// least at the mean rate until now: a lull may end.
+func (ro *rollout) rate(now time.Time) float64 {
+	_, sent := ro.counted()
+	ro.samples = slices.DeleteFunc(append(ro.samples, sample{now, sent}), func(s sample) bool { return now.Sub(s.at) > maxRateWindow })
+	rate := float64(sent) / ro.progress(now)
+	for _, s := range ro.samples {
+		if span := now.Sub(s.at); span >= minRateWindow && sent > s.sent {
+			rate = max(rate, float64(sent-s.sent)*float64(ro.object.Duration)/float64(span))
+		}
+	}
+	return rate
+}
+
 // rampFits reports whether the exposure bound allows a ramp that starts at
 // start. Both times are fractions of the duration; exposed and sent are the
-// requests at the new release and at all until now. The rate is assumed to stay
-// as it was.
-func rampFits(now, start, exposed, sent, exposure, extra float64) bool {
+// requests at the new release and at all until now, rate those expected in a
+// duration from now on.
+func rampFits(now, start, exposed, sent, rate, exposure, extra float64) bool {
 	if start < earliestRamp {
 		return false
 	}
-	expected := sent / now
+	expected := sent + rate*(1-now)
 	bound := rampExposure*exposure*expected + min(extraExposure*extra, maxExtraShare*expected)
-	return exposed+(1-start-rampLength/2)*expected <= bound
+	return exposed+(1-start-rampLength/2)*rate <= bound
 }
 
 // minCanaryAnswers is the number of good answers required before the share
--- a/pkg/canary/service_test.go
+++ b/pkg/canary/service_test.go
@@ -191,16 +191,12 @@
 // play runs the simulation and sends its requests.
 func (tr *traffic) play(w *simulation, duration time.Duration, events func(w *simulation, at time.Duration)) {
 	tr.sim, tr.last = w, make(map[string]lastRequest)
-	perTick := tr.perTick
-	if perTick == 0 {
-		perTick = 0.9
-	}
 	for at := time.Duration(0); at < duration; at += simTick {
 		w.advance()
 		if events != nil {
 			events(w, at)
 		}
-		for n := perTick; n > 0; n-- {
+		for n := cmp.Or(tr.perTick, 0.9); n > 0; n-- {
 			if w.random.Float64() < n {
 				tr.request()
 			}
@@ -352,24 +348,34 @@
 // TestLoadDependentRelease guards against a release that fails only at a load
 // that the canary does not reach, and is then at most of the callers: its
 // requests must stay within the exposure bound whether that load occurs in the
-// rollout or not.
+// rollout or not, and in a burst that begins before the ramp.
 func TestLoadDependentRelease(t *testing.T) {
 	for _, tc := range []struct {
 		name                   string
 		share, extra, perTick  float64
 		failsAtShare, failRate float64
-		want                   topology.RolloutState
+		// burst is the part of the duration after which 1.7 times the requests come for
+		// three sixteenths of it, zero for never.
+		burst float64
+		want  topology.RolloutState
 	}{
 		{name: "the load does not occur", share: 0.15, extra: 30, perTick: 0.9, want: topology.RolloutCompleted},
 		{name: "the load occurs", share: 0.15, extra: 30, perTick: 0.9, failsAtShare: 0.5, failRate: 0.6, want: topology.RolloutRolledBack},
 		{name: "a narrow bound", share: 0.12, extra: 30, perTick: 9, want: topology.RolloutCompleted},
 		{name: "a narrow bound and the load occurs", share: 0.12, extra: 30, perTick: 9, failsAtShare: 0.5, failRate: 0.6, want: topology.RolloutRolledBack},
+		{name: "a burst", share: 0.15, extra: 30, perTick: 2.4, burst: 0.75, want: topology.RolloutCompleted},
+		{name: "a burst and the load occurs", share: 0.15, extra: 30, perTick: 2.4, burst: 0.75, failsAtShare: 0.5, failRate: 0.6, want: topology.RolloutRolledBack},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range int64(seeds / 4) {
 				tr := &traffic{perTick: tc.perTick, failNew: tc.failRate, failAtShare: tc.failsAtShare, maxMS: 600}
 				tr.exposureShare, tr.exposureExtra = tc.share, tc.extra
-				w := simulate(seed, 8, 0.1, tr, nil)
+				w := simulate(seed, 8, 0.1, tr, func(_ *simulation, at time.Duration) {
+					tr.perTick = tc.perTick
+					if since := float64(at)/float64(rolloutDuration) - tc.burst; tc.burst > 0 && since >= 0 && since < 3.0/16 {
+						tr.perTick *= 1.7
+					}
+				})
 				if len(w.finalStates) != 1 || w.finalStates[0] != tc.want {
 					t.Fatalf("seed %d: final states %v, want one %s", seed, w.finalStates, tc.want)
 				}
