Store view: contact with the store counts a node's own calls only

Cause: lets a notice prolong the span in which the store has answered. A notice that is late counts from its arrival, so an outage of the store between two of them would not show, and another node would drop upstreams whose entries expired in it.

Change: only own calls count. Nodes that rely on notices can't say that the store was there, and say nothing. Notice.OutageMS gets a number of its own on the wire, since Notice.AgeMS has 11.

TestMissingAfterOutage passes (the two nodes there are readers).

--- a/pkg/storeview/contact.go
+++ b/pkg/storeview/contact.go
@@ -7,9 +7,9 @@
 	"cassiapin/pkg/eventlog"
 )
 
-// contact is the span, on the clock of pauses, in which the store has answered this node
-// or the nodes on whose notices it relies, without a gap in which an entry that is renewed
-// can expire.
+// contact is the span, on the clock of pauses, in which the store has answered this node's
+// own calls without a gap in which an entry that is renewed can expire. Notices don't count:
+// one that is late would hide an outage.
 type contact struct{ since, last time.Duration }
 
 // note records that the store answered between two times, the second by when the answer
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -28,7 +28,7 @@
 	// outage.
 	GraceMS int64 `cbor:"6,keyasint,omitempty"`
 	// OutageMS is the time since that outage began; earlier releases send none.
-	OutageMS int64 `cbor:"11,keyasint,omitempty"`
+	OutageMS int64 `cbor:"12,keyasint,omitempty"`
 
 	// Packed replaces Changes by a compressed form that has everything between From
 	// and To, or the whole state in the reply to Query.All. Complete is not set then:
@@ -377,9 +377,7 @@
 		s.announced[f.kind].Store(uint64(f.pending))
 		return false
 	}
-	received := s.pauses.now()
-	s.lastAnswer[f.kind].Store(int64(received))
-	s.noteContact(f.kind, received-time.Duration(n.ageMS)*time.Millisecond, received)
+	s.lastAnswer[f.kind].Store(int64(s.pauses.now()))
 	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.reported) {
 		f.reported = at
 	}
