Store view: a state counts from when it was asked for, at the latest

A reply that was long on its way, or a notice that waited for a call, made the state seem newer, so that the node called the store later and passed that on; an age that no node sends (negative, or over an hour) kept it from calling the store at all. Denials rest on proofs, which counted right.

Change: Notice.stateAt, a time, is set when the notice arrives, or from the start of the query; ages out of bounds count as the oldest.

It replaces TestPassedOnAge, whose case it has. TestReplyWithChangesProvesNothing gives its service a clock, which the reply's time needs; its checks are the same.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -156,7 +156,7 @@
 }
 
 // refuteEntry releases a part that another node holds in quarantine, and lets the others
-// know of the answer. It returns false if this was released before.
+// know of the answer. It returns false if it was released before, or if the table is full.
 func (t *table) refuteEntry(part string, o *entry) bool {
 	e := t.entries[part]
 	switch {
@@ -251,7 +251,8 @@
 // that was known.
 func (t *table) merge(part string, o *entry) bool {
 	e := t.entries[part]
-	if stands := e != nil && e.active() && !t.refutes(part, e); o.active() && !stands && t.refutes(part, o) {
+	stands := e != nil && e.active() && !t.refutes(part, e)
+	if o.active() && !stands && t.refutes(part, o) {
 		return t.refuteEntry(part, o)
 	}
 	if e != nil {
--- a/pkg/storeview/confirmation.go
+++ b/pkg/storeview/confirmation.go
@@ -112,7 +112,7 @@
 	if sender == "" || k.Kind < Configurations || k.Kind > Evacuations {
 		return
 	}
-	at := s.pauses.now() - time.Duration(max(k.AgeMS, 0))*time.Millisecond
+	at := s.pauses.now() - messageAge(k.AgeMS)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r := &s.reporters[k.Kind]; at > r.at {
@@ -252,7 +252,7 @@
 		return false
 	}
 	if n := r.Notice; len(n.Packed) > 0 || len(n.Changes) > 0 {
-		n.ageMS = r.AgeMS
+		n.stateAt = s.replyStateAt(asked, r)
 		s.queue(n)
 		return true
 	}
--- a/pkg/storeview/confirmation_test.go
+++ b/pkg/storeview/confirmation_test.go
@@ -173,7 +173,7 @@
 		"plain":      {Kind: Configurations, From: 5, To: 9, Complete: true, Changes: changes},
 	} {
 		s := New(Options{EffectiveIn: map[Kind]time.Duration{Configurations: effectiveIn}, Peers: replyingPeers{reply: Reply{Notice: n, ProvenMS: 1}}})
-		s.reporters[Configurations] = reporter{node: "reader", at: 1}
+		s.clock, s.reporters[Configurations] = clock.Real{}, reporter{node: "reader", at: 1}
 		s.queryReporter(t.Context(), Configurations)
 		if s.Current(Configurations) {
 			t.Errorf("%s: current before the changes are applied", name)
--- a/pkg/storeview/contact.go
+++ b/pkg/storeview/contact.go
@@ -9,7 +9,7 @@
 
 // contact is the span, on the clock of pauses, in which the store has answered this node's
 // own calls without a gap in which an entry that is renewed can expire. Notices don't count:
-// one that is late would hide an outage.
+// one that is late would hide an outage. since is zero before the first answer.
 type contact struct{ since, last time.Duration }
 
 // note records that the store answered between two times, the second by when the answer
--- a/pkg/storeview/copy.go
+++ b/pkg/storeview/copy.go
@@ -63,8 +63,8 @@
 	f.queried = s.clock.Now()
 	began := s.pauses.now()
 	r, err := s.opts.Peers.Query(ctx, Query{Kind: f.kind, Packed: true})
-	age := time.Duration(r.AgeMS) * time.Millisecond
-	if err != nil || r.Notice.Kind != f.kind || age > time.Duration(copyShare*float64(s.opts.EffectiveIn[f.kind])) {
+	limit := time.Duration(copyShare * float64(s.opts.EffectiveIn[f.kind]))
+	if err != nil || r.Notice.Kind != f.kind || s.clock.Since(s.replyStateAt(began, r)) > limit {
 		return false
 	}
 	return f.applyCopy(began, r)
@@ -85,8 +85,7 @@
 	}
 	s.replaceAll(f.kind, objects, time.Time{})
 	f.from, f.changed, f.listed = r.Notice.To, max(r.Notice.From, 1), true
-	f.triedAt = s.clock.Now()
-	f.reported = f.triedAt.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	f.triedAt, f.reported = s.clock.Now(), s.replyStateAt(began, r)
 	s.confirm(f.kind, began)
 	f.recordLatestProgress()
 	s.proveByReply(f.kind, began, r)
--- a/pkg/storeview/notice.go
+++ b/pkg/storeview/notice.go
@@ -45,10 +45,10 @@
 	// Stamp orders the log lines of the sender and the receiver.
 	Stamp clock.Stamp `cbor:"8,keyasint"`
 
-	// ageMS is the age of the sender's state and digest its digest, zero if
+	// stateAt is when the sender's state was the newest, and digest its digest, zero if
 	// unknown; the receiver sets them.
-	ageMS  int64
-	digest uint64
+	stateAt time.Time
+	digest  uint64
 }
 
 // Readers is the number of nodes that read the store for all: one can fail and
@@ -255,20 +255,33 @@
 	if !s.hlc.Observe(n.Stamp) {
 		s.log.Debug(eventlog.NoticeFailed, "reason", "sender's clock is too far ahead", "stamp_of_sender", n.Stamp.Short())
 	}
+	now := s.clock.Now()
 	for _, k := range n.Known {
 		from := k.Changed
 		if from == 0 {
 			from = k.Revision // Sent by a release without this field.
 		}
 		s.noteReporter(n.Sender, k)
-		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, ageMS: k.AgeMS, digest: k.Digest})
+		s.queue(Notice{Kind: k.Kind, From: from, To: k.Revision, Complete: true, stateAt: now.Add(-messageAge(k.AgeMS)), digest: k.Digest})
 	}
 	if len(n.Known) == 0 {
-		n.ageMS = max(n.AgeMS, 0)
+		n.stateAt = now.Add(-messageAge(n.AgeMS))
 		s.queue(n)
 	}
 }
 
+// maxMessageAge is the oldest that a state in a message counts as.
+const maxMessageAge = time.Hour
+
+// messageAge converts the age of a state in a message. One that no node sends counts as
+// the oldest: a state that seems new for ever would keep this node from calling the store.
+func messageAge(ms int64) time.Duration {
+	if ms < 0 || ms > maxMessageAge.Milliseconds() {
+		return maxMessageAge
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (s *Service) queue(n Notice) {
 	if n.Kind < Configurations || n.Kind > Evacuations {
 		return
@@ -363,7 +376,7 @@
 			f.applyLater(n)
 			return true
 		}
-		again := n.digest == f.lagging && s.clock.Now().Add(-time.Duration(n.ageMS)*time.Millisecond).After(f.reported)
+		again := n.digest == f.lagging && n.stateAt.After(f.reported)
 		f.lagging = n.digest
 		return !again || !f.relist(n.digest)
 	case n.digest != 0 && n.From <= f.from:
@@ -378,8 +391,8 @@
 		return false
 	}
 	s.lastAnswer[f.kind].Store(int64(s.pauses.now()))
-	if at := s.clock.Now().Add(-time.Duration(n.ageMS) * time.Millisecond); at.After(f.reported) {
-		f.reported = at
+	if n.stateAt.After(f.reported) {
+		f.reported = n.stateAt
 	}
 	defer f.recordLatestProgress()
 	if n.To == f.from {
--- a/pkg/storeview/query.go
+++ b/pkg/storeview/query.go
@@ -129,11 +129,17 @@
 	return err == nil && f.applyReply(asked, r), err
 }
 
+// replyStateAt is when the state in a reply was the newest at the latest, for a query sent
+// at a time of the clock of pauses: the reply may have been on its way all the time since.
+func (s *Service) replyStateAt(asked time.Duration, r Reply) time.Time {
+	return s.clock.Now().Add(asked - s.pauses.now() - messageAge(r.AgeMS))
+}
+
 // applyReply applies the answer of another node to a query sent at a time of the clock
 // of pauses.
 func (f *follower) applyReply(asked time.Duration, r Reply) bool {
 	n := r.Notice
-	n.ageMS = r.AgeMS
+	n.stateAt = f.service.replyStateAt(asked, r)
 	if n.Kind != f.kind || n.To <= f.from || !f.applyNotice(n) {
 		return false
 	}
@@ -179,20 +185,19 @@
 		return false
 	}
 	if config := s.currentConfig(); q.Digest != 0 && config.Revision > base.Revision {
-		f.passOn(before, base, config, r.AgeMS)
+		f.passOn(before, base, config)
 	}
 	return true
 }
 
-// passOn sends a configuration that a reader has from another node, whose state has an age
-// in milliseconds. The notice names the configuration's own revision: nodes that have read
-// it have none to fetch.
-func (f *follower) passOn(before topology.Revision, base, config Object, ageMS int64) {
+// passOn sends a configuration that a reader has from another node. The notice names the
+// configuration's own revision: nodes that have read it have none to fetch.
+func (f *follower) passOn(before topology.Revision, base, config Object) {
 	s := f.service
 	if s.rank() >= Readers {
 		return
 	}
-	n := Notice{Kind: f.kind, From: before, To: config.Revision, AgeMS: ageMS}
+	n := Notice{Kind: f.kind, From: before, To: config.Revision, AgeMS: s.clock.Since(f.reported).Milliseconds()}
 	n.pack(patchChanges(base, []Change{{Object: config}}))
 	s.send(n)
 }
--- a/pkg/storeview/query_test.go
+++ b/pkg/storeview/query_test.go
@@ -54,16 +54,65 @@
 	}
 }
 
-// TestPassedOnAge guards against a node that calls the store late because it takes changes
-// that a reader has from another node for as new as the notice.
-func TestPassedOnAge(t *testing.T) {
+// TestStateAge guards against a node that calls the store late because it takes a state for
+// newer than it is: one that a reader has from another node, that was long on its way, or
+// whose age is none.
+func TestStateAge(t *testing.T) {
+	const old = time.Second
+	changes := []NoticeChange{{Name: "main", Revision: 11}}
+	plain := Notice{Kind: Configurations, From: 10, To: 12, Complete: true, Changes: changes}
+	packed, err := packChanges(changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receive := func(ageMS int64, known bool) func(*Service, *follower) bool {
+		return func(s *Service, f *follower) bool {
+			n := plain
+			if n.AgeMS = ageMS; known {
+				f.from = 12
+				n = Notice{Known: []KnownRevision{{Kind: Configurations, Revision: 12, Changed: 12, AgeMS: ageMS}}}
+			}
+			s.receive(n)
+			return f.applyNotice(<-s.notices[Configurations])
+		}
+	}
+	for name, apply := range map[string]func(s *Service, f *follower) bool{
+		"passed on": receive(old.Milliseconds(), false),
+		"negative":  receive(-old.Milliseconds(), true),
+		"huge":      receive(1<<62, true),
+		"queued": func(s *Service, f *follower) bool {
+			s.receive(plain)
+			time.Sleep(old)
+			return f.applyNotice(<-s.notices[Configurations])
+		},
+		"late reply": func(s *Service, f *follower) bool { return f.applyReply(s.pauses.now()-old, Reply{Notice: plain}) },
+		"late copy": func(s *Service, f *follower) bool {
+			return f.applyCopy(s.pauses.now()-old, Reply{Notice: Notice{Kind: Configurations, From: 10, To: 12, Packed: packed}})
+		},
+	} {
+		s, f := newFollower(t, newMuteStore())
+		f.from, f.reported = 10, time.Time{}
+		if !apply(s, f) || f.from != 12 {
+			t.Errorf("%s: not applied, at revision %d", name, f.from)
+		}
+		if age := time.Since(f.reported); age < old {
+			t.Errorf("%s: the state counts as %s old, want %s", name, age, old)
+		}
+	}
+}
+
+// TestNoticeIsNoContact guards against a late notice that hides an outage of the store, so
+// that upstreams whose entries expired in it count as removed.
+func TestNoticeIsNoContact(t *testing.T) {
 	s, f := newFollower(t, newMuteStore())
-	f.from, f.reported = 10, time.Time{}
-	s.receive(Notice{Kind: Configurations, From: 10, To: 12, AgeMS: 1000, Complete: true, Changes: []NoticeChange{{Name: "main", Revision: 11}}})
-	if !f.applyNotice(<-s.notices[Configurations]) || f.from != 12 {
-		t.Fatalf("not applied, at revision %d", f.from)
+	f.kind = Upstreams
+	if err := f.call(t.Context()); err != nil {
+		t.Fatal(err)
 	}
-	if age := time.Since(f.reported); age < time.Second {
-		t.Errorf("the state counts as %s old, want a second", age)
+	before := s.contact
+	time.Sleep(10 * time.Millisecond)
+	s.receive(Notice{Known: []KnownRevision{{Kind: Upstreams, Revision: f.from, Changed: f.from}}})
+	if !f.applyNotice(<-s.notices[Upstreams]) || s.contact != before || before.since == 0 {
+		t.Errorf("the contact was %v and is %v", before, s.contact)
 	}
 }
